--- /dev/null
+++ b/wirehost/src/main.rs
@@ -0,0 +1,19 @@
+//! Hosts peathatch balancers on the bench's line protocol: events on standard input, actions on
+//! standard output. It translates and decides nothing.
+
+use std::io::{self, BufReader, BufWriter};
+use std::process::ExitCode;
+
+use peathatch_wirehost::Host;
+
+fn main() -> ExitCode {
+    let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
+    let output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
+    match Host::default().run(input, output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("peathatch-wirehost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/wirehost/src/wire.rs
@@ -0,0 +1,181 @@
+//! The values of the wire: fields of a line and the words for outcomes and phases.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use peathatch::interface::{Outcome, Phase, SettingsError};
+use thiserror::Error;
+
+use crate::setup::SetupError;
+
+/// What is wrong with a line.
+#[derive(Debug, Error)]
+pub enum Malformed {
+    /// Bytes that are no text.
+    #[error("not UTF-8 text")]
+    NotText,
+    /// A line ends before this value.
+    #[error("value {field} is missing")]
+    Missing {
+        /// The value's name.
+        field: &'static str,
+    },
+    /// A value of the wrong form.
+    #[error("value {field} is malformed: {value:?}")]
+    Value {
+        /// The value's name.
+        field: &'static str,
+        /// What stands there, shortened.
+        value: String,
+    },
+    /// A line goes on past its last value.
+    #[error("more values than the message has")]
+    TooMany,
+    /// A name that the wire does not have.
+    #[error("unknown message {0:?}")]
+    UnknownMessage(String),
+    /// A line where none may stand.
+    #[error("{0} outside a batch")]
+    OutsideBatch(&'static str),
+    /// No more input, yet the batch is open.
+    #[error("the input ends within a batch")]
+    EndsWithin,
+    /// A batch earlier than the one before.
+    #[error("the clock goes back")]
+    ClockBack,
+    /// An event for nobody.
+    #[error("no TO line before the first event")]
+    NoInstance,
+    /// An event before the instance has its settings.
+    #[error("instance {0} has not started")]
+    NotStarted(u32),
+    /// A list that was never defined.
+    #[error("list {0} has not been sent")]
+    NoList(u32),
+    /// A list cut off by another line.
+    #[error("list {list} lacks {missing} of its entries")]
+    ShortList {
+        /// The list's number.
+        list: u32,
+        /// How many entries are missing.
+        missing: usize,
+    },
+    /// An entry with no list open.
+    #[error("an entry outside a list")]
+    StrayEntry,
+    /// The id of a request that is still held.
+    #[error("request {0} was sent before")]
+    RequestAgain(String),
+    /// The settings cannot be read.
+    #[error("setup: {0}")]
+    Setup(#[from] SetupError),
+    /// The decisions cannot work with the settings.
+    #[error("setup: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+/// The values of a line, taken from left to right.
+pub struct Fields<'a> {
+    rest: Option<&'a str>,
+}
+
+impl<'a> Fields<'a> {
+    pub fn new(rest: Option<&'a str>) -> Self {
+        Self { rest }
+    }
+
+    pub fn text(&mut self, field: &'static str) -> Result<&'a str, Malformed> {
+        let rest = self.rest.ok_or(Malformed::Missing { field })?;
+        let (value, rest) = match rest.split_once('\t') {
+            Some((value, rest)) => (value, Some(rest)),
+            None => (rest, None),
+        };
+        self.rest = rest;
+        if value.is_empty() { Err(Malformed::Missing { field }) } else { Ok(value) }
+    }
+
+    /// A value that `-` marks as absent.
+    pub fn optional(&mut self, field: &'static str) -> Result<Option<&'a str>, Malformed> {
+        Ok(Some(self.text(field)?).filter(|&value| value != "-"))
+    }
+
+    pub fn number<T: FromStr>(&mut self, field: &'static str) -> Result<T, Malformed> {
+        let value = self.text(field)?;
+        value.parse().map_err(|_| bad(field, value))
+    }
+
+    pub fn seconds(&mut self, field: &'static str) -> Result<Duration, Malformed> {
+        let value = self.text(field)?;
+        seconds(value).ok_or_else(|| bad(field, value))
+    }
+
+    pub fn optional_seconds(&mut self, field: &'static str) -> Result<Option<Duration>, Malformed> {
+        let value = self.optional(field)?;
+        value.map(|value| seconds(value).ok_or_else(|| bad(field, value))).transpose()
+    }
+
+    pub fn flag(&mut self, field: &'static str) -> Result<bool, Malformed> {
+        match self.text(field)? {
+            "1" => Ok(true),
+            "0" => Ok(false),
+            value => Err(bad(field, value)),
+        }
+    }
+
+    /// Text to the end of the line.
+    pub fn remainder(&mut self, field: &'static str) -> Result<&'a str, Malformed> {
+        self.rest.take().ok_or(Malformed::Missing { field })
+    }
+
+    pub fn end(&self) -> Result<(), Malformed> {
+        if self.rest.is_some() { Err(Malformed::TooMany) } else { Ok(()) }
+    }
+}
+
+pub fn bad(field: &'static str, value: &str) -> Malformed {
+    Malformed::Value { field, value: value.chars().take(80).collect() }
+}
+
+fn seconds(value: &str) -> Option<Duration> {
+    Duration::try_from_secs_f64(value.parse().ok()?).ok()
+}
+
+pub fn outcome(value: &str) -> Result<Outcome, Malformed> {
+    Ok(match value {
+        "GOOD" => Outcome::Good,
+        "BAD" => Outcome::Error,
+        "FULL" => Outcome::Refused,
+        "LATE" => Outcome::TimedOut,
+        "NOCONN" => Outcome::ConnectFailed,
+        "RST" => Outcome::Reset,
+        "CXL" => Outcome::Withdrawn,
+        "NOP" => Outcome::NotSent,
+        _ => return Err(bad("outcome", value)),
+    })
+}
+
+pub fn phase(value: &str) -> Result<Phase, Malformed> {
+    Ok(match value {
+        "Ready" => Phase::Ready,
+        "Terminating" => Phase::Draining,
+        "Gone" => Phase::Gone,
+        _ => return Err(bad("phase", value)),
+    })
+}
+
+/// A message's bytes from hex digits, `-` for none.
+pub fn bytes(value: &str) -> Result<Vec<u8>, Malformed> {
+    if value == "-" {
+        return Ok(Vec::new());
+    }
+    let digit = |byte: u8| (byte as char).to_digit(16).map(|digit| digit as u8);
+    value
+        .as_bytes()
+        .chunks(2)
+        .map(|pair| match *pair {
+            [high, low] => Some(digit(high)? << 4 | digit(low)?),
+            _ => None,
+        })
+        .collect::<Option<_>>()
+        .ok_or_else(|| bad("content", value))
+}
