Do not take calls given less than the usual time for a crowd

Cause: in that stretch one tenant sends calls that wait 80 ms, less than such calls take. They end in errors and time-outs, which counted as full evidence of a crowd and of a bad upstream, so that the limits of all tenants were cut to their floors.

Ruled out: the resets (they do not count as crowding), denials below the first tier (none), busy servers (reports of waiting=0), descriptors, CPU.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -462,6 +462,8 @@
     cell: u32,
     zone: Option<ZoneId>,
     sent: f64,
+    /// Seconds that it was given.
+    given: f64,
     state: AttemptState,
     withdrawn: bool,
 }
@@ -989,6 +991,7 @@
             cell: member.cell,
             zone: member.zone,
             sent: now,
+            given: timeout,
             state: AttemptState::Out,
             withdrawn: false,
         });
@@ -1050,13 +1053,17 @@
         attempt.state = if outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         entry.out -= 1;
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
-        let (class, tenant) = (entry.class, entry.tenant);
+        let (class, tenant, given) = (entry.class, entry.tenant, attempt.given);
         let late = now - entry.arrived > self.settings.classes[class.0].aim.as_secs_f64();
         if finished {
             entry.closed = true;
         }
         let (closed, idle) = (entry.closed, entry.out == 0);
-        self.learn_outcome(now, slot, class, outcome, took);
+        // Given less time than such calls take, it tells of its caller's haste: counted like others, the calls of
+        // one tenant in haste would pass for a crowd and have all tenants denied.
+        let hasty = matches!(outcome, Outcome::Error | Outcome::TimedOut)
+            && given < self.latencies[class.0].seconds();
+        self.learn_outcome(now, slot, class, outcome, took, hasty);
         if closed {
             if idle {
                 self.ledger.entries.remove(&id);
@@ -1072,7 +1079,7 @@
         // full server the tenant's limit would drop although its calls are served. Refusals by two servers in
         // a row are a crowd.
         let refusals = outcome == Outcome::Refused && number.0 > 0;
-        if refusals || !(again && outcome.never_ran()) {
+        if !hasty && (refusals || !(again && outcome.never_ran())) {
             self.meet(now, class, tenant, outcome, took, late);
         }
     }
@@ -1089,8 +1096,16 @@
         true
     }
 
-    /// What an outcome tells of its upstream and of the zones.
-    fn learn_outcome(&mut self, now: f64, slot: usize, class: ClassId, outcome: Outcome, took: f64) {
+    /// What an outcome tells of its upstream and of the zones; nothing if it was `hasty`.
+    fn learn_outcome(
+        &mut self,
+        now: f64,
+        slot: usize,
+        class: ClassId,
+        outcome: Outcome,
+        took: f64,
+        hasty: bool,
+    ) {
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
@@ -1106,6 +1121,7 @@
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
         let failed = match outcome {
             Outcome::NotSent | Outcome::Withdrawn => return,
+            _ if hasty => return,
             Outcome::Good | Outcome::Refused => false,
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => true,
         };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,6 +69,11 @@
 
     /// Offers a request of the first class and tells what is done about it.
     pub fn offer(&mut self, tenant: Option<usize>) -> (RequestId, Vec<Action>) {
+        self.offer_within(tenant, millis(3000))
+    }
+
+    /// The same for a caller that waits so long.
+    pub fn offer_within(&mut self, tenant: Option<usize>, time_left: Duration) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next_id);
         self.next_id += 1;
         let request = Request {
@@ -76,7 +81,7 @@
             class: ClassId(0),
             tenant: tenant.map(TenantId),
             key: None,
-            time_left: millis(3000),
+            time_left,
             expected_work: None,
             repeat: false,
         };
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -296,3 +296,32 @@
     let rate = f64::from(passed) / copies as f64 / 10.0;
     assert!(rate < 0.4, "{rate} calls a second a copy");
 }
+
+/// Found on r7909: the calls of one tenant that waited for a fraction of the usual time failed, were taken for
+/// a crowd, and had the limits of all tenants cut to their floors.
+#[test]
+fn calls_in_haste_do_not_cut_the_limits_of_others() {
+    for outcome in [Outcome::Error, Outcome::TimedOut] {
+        let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+        settings.tenants = vec![Tenant { quota: Some(10.0) }; 2];
+        settings.over_share_worth = 0.0;
+        let mut bench = Bench::new(settings, 5, (0..4).map(member).collect());
+        for call in 0..400 {
+            let (id, actions) = bench.offer(Some(0));
+            assert!(sent(&actions).is_some(), "call {call} denied beside calls that ended in {outcome:?}");
+            bench.pass(millis(100));
+            bench.end(id, 0, Outcome::Good, millis(100));
+            // The usual time is known by then.
+            if call >= 100 {
+                let (id, mut actions) = bench.offer_within(Some(1), millis(50));
+                let mut number = 0;
+                while sent(&actions).is_some() {
+                    bench.pass(millis(20));
+                    actions = bench.end(id, number, outcome, millis(20));
+                    number += 1;
+                }
+            }
+            bench.pass(millis(40));
+        }
+    }
+}
