Let the gate for all tenants go by the last second too

Cause: after a drop of the limit the window still holds what the old limit let in. The gate for all tenants went by it alone and stayed shut beside idle servers; no call ended that could have shown that the crowd had gone.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -221,11 +221,12 @@
     /// The rate of calls: the larger of that of the window and that of the last 1000 ms.
     fn perceived(&mut self, now: f64) -> f64 {
         self.roll(now);
-        let last: u32 = (0..LAST_SECOND)
-            .map(|back| self.current.saturating_sub(back) % BUCKETS as u64)
-            .map(|slot| self.buckets[slot as usize].total)
-            .sum();
-        (f64::from(self.sum.total) / self.span()).max(f64::from(last))
+        (f64::from(self.sum.total) / self.span()).max(self.last_second(|bucket| bucket.total))
+    }
+
+    fn last_second(&self, count: fn(&Bucket) -> u32) -> f64 {
+        let slots = (0..LAST_SECOND).map(|back| self.current.saturating_sub(back) % BUCKETS as u64);
+        f64::from(slots.map(|slot| count(&self.buckets[slot as usize])).sum::<u32>())
     }
 
     fn factor(&mut self, now: f64, limit: f64) -> f64 {
@@ -802,7 +803,10 @@
         let LearnedLimit { rate: limit, quota, .. } = limits[tenant];
         let mut admitted = suppressors[tenant].admit(now, limit, quota.unwrap_or(limit), rng);
         if admitted && all != tenant {
-            admitted = own || suppressors[all].fits(now, rate, rng);
+            // After a drop the window still holds what the old limit let in: by it alone all would wait for seconds.
+            let room = suppressors[all].fits(now, rate, rng)
+                || suppressors[all].last_second(|bucket| bucket.total - bucket.declined) < rate;
+            admitted = own || room;
             suppressors[all].count(admitted);
         }
         suppressors[tenant].count(admitted);
