Take 8 ms, not 30, off a caller's time in each tier

Cause: the margin for the answer's way is taken once a tier; twice 30 ms left nothing after the first tier's share of the work.

Ruled out: slow answers of our own (0.1 ms to the first attempt, 0.2 ms from the answer to the client, 0.9 ms for 99 in 100).

--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -30,8 +30,10 @@
 use crate::screen::{Ambiguous, Screened, Unread};
 use crate::upstream::{BODY_MOST, Call};
 
-/// Taken off a caller's time: the answer must arrive before it is up.
-const MARGIN: Duration = Duration::from_millis(30);
+/// Taken off a caller's time, and again in each tier below: the answer must arrive before it is up. An answer
+/// goes out within 0.9 ms for 99 in 100 requests (r7909), so this leaves room for a busy core; 30 ms took from
+/// callers that wait 80 ms all that the tier below needs.
+const MARGIN: Duration = Duration::from_millis(8);
 /// Left to the decisions for a last word past that, before the answer is given for them.
 const LAST_WORD: Duration = Duration::from_millis(10);
 /// The program may be killed so long after SIGTERM, beside the longest deadline...
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -220,3 +220,18 @@
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
     assert_eq!(balancer.caller().ask("order", "one").status(), 502);
 }
+
+/// Found on r7909: 30 ms taken off a caller's time in each tier left nothing of the time of callers in haste, and
+/// their calls were refused unsent below the first tier.
+#[test]
+fn a_call_with_little_time_left_is_still_sent() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 0.5);
+    let mut caller = balancer.caller();
+    // One may be held up on a busy machine; of many one gets through, or none ever does.
+    wait_for("a call in haste is sent", || {
+        caller.send_within(0.03, "read");
+        caller.answer().expect("an answer in any case");
+        (!upstream.requests().is_empty()).then_some(())
+    });
+}
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -375,6 +375,18 @@
         self.send_whole(&format!("r-{}", NUMBER.fetch_add(1, Ordering::Relaxed)), tenant, class, body);
     }
 
+    /// For a caller that waits so many seconds.
+    pub fn send_within(&mut self, seconds: f64, class: &str) {
+        let id = format!("r-{}", NUMBER.fetch_add(1, Ordering::Relaxed));
+        self.raw(
+            format!(
+                "GET /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Tenant: acme\r\n\
+                 X-Deadline: {seconds}\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+    }
+
     fn send_whole(&mut self, id: &str, tenant: &str, class: &str, body: &str) {
         let (method, key) = if class == "read" { ("GET", "") } else { ("POST", "Idempotency-Key: k-1\r\n") };
         let text = format!(
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -106,7 +106,7 @@
     settings.tenants = vec![Tenant { quota: Some(5.0) }];
     let mut bench = Bench::new(settings, 5, (0..4).map(member).collect());
     for call in 0..2000 {
-        bench.pass(millis(24));
+        bench.pass(millis(20));
         let (id, mut actions) = bench.offer(Some(0));
         assert!(sent(&actions).is_some(), "call {call} denied");
         let mut number = 0;
@@ -316,7 +316,7 @@
                 let (id, mut actions) = bench.offer_within(Some(1), millis(50));
                 let mut number = 0;
                 while sent(&actions).is_some() {
-                    bench.pass(millis(24));
+                    bench.pass(millis(20));
                     actions = bench.end(id, number, outcome, millis(20));
                     number += 1;
                 }
