Ask refused clients to stay away for the aim of their class at most

Cause: refused clients were advised the longest stay that clients honour, 2 s, by which a class with a deadline of 1 s is lost for good.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1011,17 +1011,17 @@
         if entry.closed {
             return;
         }
+        let class = &self.settings.classes[entry.class.0];
         let harmless = entry.first_run().is_none()
-            || match self.settings.classes[entry.class.0].effect {
+            || match class.effect {
                 Effect::Safe => true,
                 Effect::Keyed { scope, .. } => scope == DedupScope::All,
                 Effect::Unsafe => false,
             };
-        actions.push(if harmless {
-            Action::Refuse { request: id, retry_after: self.settings.allowed.retry_after }
-        } else {
-            Action::Fail { request: id }
-        });
+        // Told to stay away past its time, a client never comes back; tries within an aim feed the crowd.
+        let retry_after = self.settings.allowed.retry_after.map(|most| most.min(class.aim));
+        let refusal = Action::Refuse { request: id, retry_after };
+        actions.push(if harmless { refusal } else { Action::Fail { request: id } });
         self.close(id, actions);
     }
 
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use peathatch::interface::*;
-use peathatch::{Event, Settings};
+use peathatch::{Action, Event, Settings};
 
 /// A first-tier copy whose only tenant is held to 10 calls a second: a third of 25 and a standard
 /// deviation of its chance over the window.
@@ -351,3 +351,17 @@
         assert!(longest <= millis(500), "seed {seed}: nobody was admitted for {longest:?}");
     }
 }
+
+/// Found on the simulator's overload day: told to stay away for the longest that clients honour, which may be
+/// longer than they wait at all, those refused never came back in time.
+#[test]
+fn a_refused_client_is_told_to_come_back_while_it_can_be_served_in_time() {
+    for (longest, told) in [(Some(2000), Some(1000)), (Some(300), Some(300)), (None, None)] {
+        let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+        settings.allowed.retry_after = longest.map(millis);
+        // Nobody to send to: the module gives up at once.
+        let mut bench = Bench::new(settings, 5, Vec::new());
+        let (request, actions) = bench.offer(None);
+        assert_eq!(actions, [Action::Refuse { request, retry_after: told.map(millis) }]);
+    }
+}
