Keep a connection that is up although TCP_NODELAY cannot be set on it

Cause: `connect` in dahliahead/src/upstream.rs ended with `stream.set_nodelay(true)?`.

Ruled out: the limits themselves (they fell only after the connects had failed), time-outs of connects (all failures within 0.5 ms), the second tier (no failures but these).

--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -94,7 +94,14 @@
     let stream = timeout(dial.patience, TcpStream::connect(dial.address))
         .await
         .map_err(|_| ConnectError::TimedOut)??;
-    stream.set_nodelay(true)?;
+    open(permit, stream).await
+}
+
+/// Makes a connection of a stream that has come up.
+async fn open(permit: Permit, stream: TcpStream) -> Result<Connection, ConnectError> {
+    // Without it requests may wait for acknowledgements; one that can't be set is no reason to hang up, as the
+    // upstream has paid for the connection, and for each that would be opened in its place.
+    let _ = stream.set_nodelay(true);
     let traffic = Rc::new(Traffic { written: Cell::new(0), may_read: Cell::new(u64::MAX) });
     let io = Counted { stream, traffic: Rc::clone(&traffic), _permit: permit };
     let (sender, connection) =
@@ -497,6 +504,32 @@
         });
     }
 
+    /// Guards connections that are up: one whose socket does not take an option carries requests all the same.
+    /// A Unix socket stands in for it, as it knows nothing of `TCP_NODELAY`.
+    #[test]
+    fn a_connection_is_kept_though_an_option_cannot_be_set() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (near, far) = std::os::unix::net::UnixStream::pair().expect("free");
+            near.set_nonblocking(true).expect("a socket");
+            far.set_nonblocking(true).expect("a socket");
+            let near = std::net::TcpStream::from(std::os::fd::OwnedFd::from(near));
+            let near = TcpStream::from_std(near).expect("not blocking");
+            assert!(near.set_nodelay(true).is_err());
+            let mut far = tokio::net::UnixStream::from_std(far).expect("not blocking");
+            let sockets = Rc::new(Cell::new(0));
+            let mut connection = open(Permit::of(&sockets), near).await.expect("it is up");
+            connection.traffic.begin_request();
+            let upstream = async {
+                let _ = far.read(&mut [0; 1024]).await.expect("a request comes");
+                far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("open");
+            };
+            let request = call(Method::GET, b"").request(Duration::from_secs(1));
+            let (answer, ()) = tokio::join!(connection.sender.send_request(request), upstream);
+            assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+        });
+    }
+
     /// Guards the same line for an attempt that is given up half-way.
     #[test]
     fn a_request_is_whole_with_its_last_byte() {
