Simplify the ends of attempts and the place of kinds in the module

`attempt_ended` went three ways for a closed request, all of which `close` takes: it marks, calls off what is still out once, and forgets what has nothing out. An upstream's place among the kinds was reckoned in two places.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,8 +18,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::{
-    Action, Allowed, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event, KindId, ListUpdate,
-    Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    Action, Allowed, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event, ListUpdate, Member,
+    Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time, UpstreamId, ZoneId,
 };
 
 // --- Constants: unit and reason. Figures of a site come with the settings, never from here. ---
@@ -722,6 +722,8 @@
         let (mut home, mut away) = (Vec::new(), Vec::new());
         for (id, slot) in order {
             let upstream = &mut self.upstreams[slot];
+            upstream.kind =
+                upstream.member.kind.map_or(self.settings.kinds, |kind| kind.0.min(self.settings.kinds));
             if !upstream.usable() {
                 if !upstream.listed && upstream.in_flight == 0 {
                     self.slots.remove(&id);
@@ -730,8 +732,6 @@
                 continue;
             }
             upstream.home = upstream.member.zone == Some(self.settings.zone);
-            upstream.kind =
-                upstream.member.kind.map_or(self.settings.kinds, |kind| kind.0.min(self.settings.kinds));
             self.largest_weight = self.largest_weight.max(upstream.member.weight);
             self.ready.push(slot);
             self.cells.entry(upstream.member.cell).or_default().push(slot);
@@ -1059,21 +1059,14 @@
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
         let (class, tenant, given) = (entry.class, entry.tenant, attempt.given);
         let late = now - entry.arrived > self.settings.classes[class.0].aim.as_secs_f64();
-        if finished {
-            entry.closed = true;
-        }
-        let (closed, idle) = (entry.closed, entry.out == 0);
+        let (closed, idle) = (entry.closed || finished, entry.out == 0);
         // Given less time than such calls take, it tells of its caller's haste: counted like others, the calls of
         // one tenant in haste would pass for a crowd and have all tenants denied.
         let hasty = matches!(outcome, Outcome::Error | Outcome::TimedOut)
             && given < self.latencies[class.0].seconds();
         self.learn_outcome(now, slot, class, outcome, took, hasty);
         if closed {
-            if idle {
-                self.ledger.entries.remove(&id);
-            } else if finished {
-                self.close(id, actions);
-            }
+            self.close(id, actions);
         }
         let again = !closed && idle && self.try_again(now, id, outcome, actions);
         if !closed && idle && !again {
@@ -1140,9 +1133,7 @@
         }
         if usual > 0.0 && matches!(outcome, Outcome::Good | Outcome::TimedOut) {
             let times = (took / usual).min(8.0);
-            let last = self.kind_slowness.len() - 1;
-            let kind =
-                &mut self.kind_slowness[upstream.member.kind.map_or(last, |KindId(kind)| kind.min(last))];
+            let kind = &mut self.kind_slowness[upstream.kind];
             if upstream.measured == 0.0 {
                 upstream.slowness = *kind;
             }
