Let a copy's limits reach several even parts of the quotas in a large fleet

Cause: in src/decide.rs `LearnedLimit::new` made a quota over the number of copies both start and ceiling (`let ceiling = if settings.over_share_worth < EXCESS_COUNTS { rate } ...`), and `Balancer::new` did for all tenants (`all.rate = all.fair`). Some copies see several times the mean.

Ruled out: a crowd at those copies (none met by n16), upstreams set aside (1 to 5 of 16), calls with nobody to send to (none).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -259,9 +259,10 @@
             return Self { rate: f64::MAX, fair: f64::MAX, quota: None, ceiling: f64::MAX, usual: 0.0 };
         };
         let fair = quota / f64::from(settings.copies);
-        let rate = fair + CHANCE * (fair / WINDOW_S).sqrt();
+        let with_chance = |part: f64| part + CHANCE * (part / WINDOW_S).sqrt();
+        let rate = with_chance(fair * uneven(settings.copies));
         let ceiling = if settings.over_share_worth < EXCESS_COUNTS { rate } else { f64::MAX };
-        Self { rate, fair, quota: Some(rate), ceiling, usual: 0.0 }
+        Self { rate, fair, quota: Some(with_chance(fair)), ceiling, usual: 0.0 }
     }
 
     fn rise(&mut self) {
@@ -287,6 +288,12 @@
     }
 }
 
+/// Fair parts that a copy may need: of shares drawn at random the largest is about so many (the logarithm of their
+/// number), and a copy held to one part denies calls that are within the quotas. Few copies are taken for even.
+fn uneven(copies: u32) -> f64 {
+    f64::from(copies).ln().max(1.0)
+}
+
 fn between(rng: &mut Rand64, (low, high): (f64, f64)) -> f64 {
     low + (high - low) * rng.rand_float()
 }
@@ -583,8 +590,8 @@
         let mut all = LearnedLimit::new(&settings, settings.tenants.iter().map(|tenant| tenant.quota).sum());
         if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
             all.quota = Some(all.fair);
-            all.rate = all.fair;
-            all.ceiling = all.fair * (1.0 + EXCESS * all.fair / (all.fair + NOTICE));
+            all.rate = all.fair * uneven(settings.copies);
+            all.ceiling = all.rate.max(all.fair * (1.0 + EXCESS * all.fair / (all.fair + NOTICE)));
         }
         let bucket_s = BUCKET_S * (CALLS / (all.fair * WINDOW_S)).clamp(1.0, 4.0);
         suppressors.push(Suppressor { bucket_s, ..Suppressor::default() });
