Set upstreams that turn calls away aside like those that fail

Cause: `learn_outcome` in src/decide.rs had `Outcome::Good | Outcome::Refused => false` for failed. A nodo that drains before the copies are told turns calls away at once, has none in flight, and is picked as the less busy. Sums over all copies of the first tier:

12 ask 923 den 90 send 899 refd 0 | lim/fair 2.54 crowd -0.057 18 ask 2223 den 679 send 2509 refd 994 | lim/fair 1.35 crowd 0.267 21 ask 3173 den 1639 send 2099 refd 461 | lim/fair 0.75 crowd 0.276

Ruled out: full queues (no refusals before the release nor in the second tier), cold nodos (5 of them at most).

As with failed connects, refusals are kept out of the failure share of the tier, which would hide single upstreams.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1126,16 +1126,18 @@
         let failed = match outcome {
             Outcome::NotSent | Outcome::Withdrawn => return,
             _ if hasty => return,
-            Outcome::Good | Outcome::Refused => false,
-            Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => true,
+            Outcome::Good => false,
+            // Who turns calls away has none in flight: uncounted, it would draw ever more of them.
+            Outcome::Refused | Outcome::Error | Outcome::TimedOut => true,
+            Outcome::ConnectFailed | Outcome::Reset => true,
         };
         if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed) {
             upstream.heard = now;
         }
         upstream.failures += FAIL_WEIGHT * (f64::from(u8::from(failed)) - upstream.failures);
-        // A failed connect is that upstream's own: behind a broken link, counting it for the tier would make
-        // many lost upstreams look like crowding below, and none would be set aside.
-        if outcome != Outcome::ConnectFailed {
+        // A failed connect is that upstream's own, as is a refusal: behind a broken link, counting it for the tier
+        // would make many lost upstreams look like crowding below, and none would be set aside.
+        if !matches!(outcome, Outcome::ConnectFailed | Outcome::Refused) {
             self.tier_failures += TIER_WEIGHT * (f64::from(u8::from(failed)) - self.tier_failures);
         }
         if usual > 0.0 && matches!(outcome, Outcome::Good | Outcome::TimedOut) {
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use common::*;
 use peathatch::interface::*;
@@ -265,3 +265,36 @@
     assert_eq!(distinct(0.0), 8);
     assert!(distinct(0.08) <= 5);
 }
+
+/// Found on the fleet's days: upstreams that drained before their copies were told turned calls away at once, so had
+/// none in flight and drew two fifths of all sends; the copies took it for a crowd.
+#[test]
+fn upstreams_that_turn_calls_away_do_not_draw_more_of_them() {
+    let (mut sends, mut turned_away) = (0, 0);
+    for index in 0..20 {
+        let settings = Settings { index, copies: 20, ..settings() };
+        let mut bench = Bench::new(settings, index.into(), (0..32).map(member).collect());
+        let mut open = VecDeque::new();
+        for _ in 0..400 {
+            bench.pass(millis(10));
+            let (id, mut actions) = bench.offer(None);
+            let mut number = 0;
+            // A quarter of the tier drains.
+            while let Some(UpstreamId(upstream)) = sent(&actions) {
+                sends += 1;
+                if upstream % 4 != 0 {
+                    open.push_back((id, number));
+                    break;
+                }
+                turned_away += 1;
+                actions = bench.end(id, number, Outcome::Refused, millis(1));
+                number += 1;
+            }
+            if open.len() > 8 {
+                let (id, number) = open.pop_front().expect("more than eight");
+                bench.end(id, number, Outcome::Good, millis(80));
+            }
+        }
+    }
+    assert!(turned_away < sends / 12, "{turned_away} of {sends} sends turned away");
+}
