--- a/src/decide.rs
+++ b/src/decide.rs
@@ -664,6 +664,12 @@
     }
 
     fn learn_list(&mut self, now: f64, update: ListUpdate) {
+        if matches!(update, ListUpdate::Whole(_) | ListUpdate::StaleCopy(_)) {
+            self.upstreams.iter_mut().for_each(|upstream| upstream.listed = false);
+        }
+        if matches!(update, ListUpdate::Whole(_) | ListUpdate::Patch(_)) {
+            self.discovery = Discovery { subscribed: true, ..Discovery::default() };
+        }
         match update {
             ListUpdate::Broken => {
                 // Copies whose calls fail together must not come back together.
@@ -672,30 +678,14 @@
                 self.discovery.subscribed = false;
                 self.discovery.backoff_s = backoff;
                 self.discovery.ask_at = now + between(&mut self.rng, (backoff / 2.0, backoff));
-                return;
             }
-            ListUpdate::StaleCopy(members) => self.replace(now, &members),
-            ListUpdate::Whole(members) => {
-                self.discovery = Discovery { subscribed: true, ..Discovery::default() };
-                self.replace(now, &members);
-            }
-            ListUpdate::Patch(members) => {
-                self.discovery = Discovery { subscribed: true, ..Discovery::default() };
+            ListUpdate::Whole(members) | ListUpdate::StaleCopy(members) | ListUpdate::Patch(members) => {
                 for member in members {
                     self.learn_member(now, member);
                 }
+                self.rebuild();
             }
         }
-        self.rebuild();
-    }
-
-    fn replace(&mut self, now: f64, members: &[Member]) {
-        for upstream in &mut self.upstreams {
-            upstream.listed = false;
-        }
-        for &member in members {
-            self.learn_member(now, member);
-        }
     }
 
     fn learn_member(&mut self, now: f64, member: Member) {
