--- a/src/decide.rs
+++ b/src/decide.rs
@@ -595,7 +595,7 @@
             settings.tenants.iter().map(|tenant| LearnedLimit::new(&settings, tenant.quota)).collect();
         let mut suppressors: Vec<_> =
             limits.iter().map(|_| Suppressor { bucket_s: BUCKET_S, ..Suppressor::default() }).collect();
-        // The last is for all tenants together: at first their fair parts, in a crowd less.
+        // The last is for all tenants together: at first what the copy may need of them all, in a crowd less.
         let mut all = LearnedLimit::new(&settings, settings.tenants.iter().map(|tenant| tenant.quota).sum());
         if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
             all.quota = Some(all.fair);
