Open a watch on the list where the settings say that lists are pushed

Balancer::subscribe asks for a watch only in the mode Subscribe, and nothing in Driver::start opened one otherwise. Ruled out: silent or misread watches; the log has no line of a watch at all.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use peathatch::interface::{
-    AttemptNumber, Class, ClassId, KindId, ListUpdate, Member, Outcome, Phase, Request, RequestId,
-    SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    AttemptNumber, Class, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase, Request,
+    RequestId, Settings, SettingsError, TenantId, Time, UpstreamId, ZoneId,
 };
 use peathatch::{Action, Balancer, Event};
 use peathatch_wirehost::setup::Names;
@@ -159,8 +159,10 @@
         let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
         let classes = loaded.settings.classes.clone();
         let retry_after = loaded.settings.allowed.retry_after;
+        // Over HTTP lists come on a watch only, also where the settings say that they come by themselves.
+        let settings = Settings { discovery: DiscoveryMode::Subscribe, ..loaded.settings };
         let core = Core {
-            balancer: Balancer::new(loaded.settings, config.seed)?,
+            balancer: Balancer::new(settings, config.seed)?,
             events: VecDeque::new(),
             requests: FxHashMap::default(),
             open: FxHashSet::default(),
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -148,3 +148,24 @@
         assert_eq!(caller.ask("order", "x").body, b"one");
     }
 }
+
+/// Found on an own deployment: where the settings say that lists come by themselves no watch was opened, and no
+/// drain was heard of. Over HTTP they come on a watch whatever the settings say.
+#[test]
+fn lists_that_are_pushed_come_on_a_watch_too() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", old.address, 0, "ready")];
+    let asked = configuration(discovery.address, &known, 30.0, 1024);
+    let pushed = asked.replace(r#""discovery":"subscribe""#, r#""discovery":"automatic""#);
+    assert_ne!(asked, pushed);
+    let balancer = Balancer::start(&pushed);
+    let mut caller = balancer.caller();
+    assert_eq!(caller.ask("order", "one").body, b"old");
+    let (line, watch) = discovery.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
+    let drained = endpoint("s-1", old.address, 0, "draining");
+    watch.says(8, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
+    old.wait_closed(1);
+    assert_eq!(caller.ask("order", "two").body, b"new");
+}
