End attempts that have not gone out whole with their caller, whatever may be cancelled

Cause: exchange in upstream.rs asks may_send after connecting, but nothing asks whether the caller is still there; where the settings do not allow to cancel, Balancer::close withdraws nothing, so that an attempt waiting for its connection went out long after its caller had left. What has not been written whole never ran, so that closing its connection is no cancelling: Driver::caller_left ends such attempts, where each of them is known with how far it has got. Ruled out by a test that passes before and after: another attempt once the caller has left. The new test fails without the change (the id of the request that was left stays taken by its attempt).

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -21,7 +21,7 @@
 
 use crate::config::Config;
 use crate::discovery::{self, Endpoint, Update};
-use crate::upstream::{self, Call, Connection, Ended, Job};
+use crate::upstream::{self, Call, Connection, Ended, Job, Progress};
 
 /// How far the module's clock runs ahead of the program's start: upstreams that started before it have a
 /// time on that clock too. One that started earlier still has been warm for long.
@@ -92,11 +92,18 @@
     deadline: Instant,
     /// Taken by the final answer.
     answer: Option<oneshot::Sender<Answer>>,
-    /// By attempt: calls it off.
-    attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// By attempt, while it is out.
+    attempts: Vec<Option<Out>>,
     out: u32,
 }
 
+/// An attempt that is out.
+struct Out {
+    /// Calls it off.
+    withdraw: oneshot::Sender<()>,
+    progress: Rc<Progress>,
+}
+
 struct Listed {
     address: SocketAddr,
     since_ms: u64,
@@ -365,6 +372,13 @@
             if held.answer.take().is_none() {
                 return;
             }
+            // What waits for its connection, or has not gone out whole, goes to nobody's benefit. Closed before
+            // its last byte it never runs, so that this needs no leave to cancel.
+            for attempt in &mut held.attempts {
+                if let Some(out) = attempt.take_if(|out| !out.progress.whole()) {
+                    let _ = out.withdraw.send(());
+                }
+            }
             core.release(id);
         }
         self.handle(Event::ClientLeft(id));
@@ -376,8 +390,8 @@
             let mut core = self.core.borrow_mut();
             let Some(held) = core.requests.get_mut(&job.request) else { return };
             held.out -= 1;
-            if let Some(withdraw) = held.attempts.get_mut(job.attempt.0 as usize) {
-                *withdraw = None;
+            if let Some(attempt) = held.attempts.get_mut(job.attempt.0 as usize) {
+                *attempt = None;
             }
             if let Some(body) = ended.body
                 && let Some(answer) = held.answer.take()
@@ -539,11 +553,11 @@
             Action::Send { request, upstream, timeout } => self.send(core, request, upstream, timeout),
             Action::Withdraw { request, attempt } => {
                 let held = core.requests.get_mut(&request);
-                if let Some(withdraw) =
+                if let Some(out) =
                     held.and_then(|held| held.attempts.get_mut(attempt.0 as usize)).and_then(Option::take)
                 {
                     // It may have ended this moment, which it then says itself.
-                    let _ = withdraw.send(());
+                    let _ = out.withdraw.send(());
                 }
             }
             Action::Refuse { request, retry_after } => core.answer(request, Answer::Refused { retry_after }),
@@ -603,11 +617,12 @@
         let asked = Instant::now();
         let until = timeout.map_or(held.deadline, |span| held.deadline.min(asked + span));
         let (withdraw, withdrawn) = oneshot::channel();
-        held.attempts.push(Some(withdraw));
+        let progress = Rc::new(Progress::default());
+        held.attempts.push(Some(Out { withdraw, progress: Rc::clone(&progress) }));
         held.out += 1;
         let (address, call) = (listed.address, Rc::clone(&held.call));
         let job = Job { request, attempt, upstream, address, call, asked, until };
-        spawn_local(upstream::attempt(Rc::clone(self), job, withdrawn));
+        spawn_local(upstream::attempt(Rc::clone(self), job, progress, withdrawn));
     }
 }
 
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -302,8 +302,9 @@
     }
 }
 
-/// How much of the request was on its way when the attempt was given up.
-struct Progress {
+/// How much of an attempt's request is on its way.
+#[derive(Debug)]
+pub struct Progress {
     traffic: RefCell<Option<Rc<Traffic>>>,
     size: Cell<u64>,
 }
@@ -316,7 +317,9 @@
 }
 
 impl Progress {
-    fn whole(&self) -> bool {
+    /// Whether the last byte is written, so that it may run.
+    #[must_use]
+    pub fn whole(&self) -> bool {
         self.written() >= self.size.get()
     }
 
@@ -330,8 +333,7 @@
 }
 
 /// Makes an attempt and tells the driver how it ended.
-pub async fn attempt(driver: Rc<Driver>, job: Job, withdrawn: oneshot::Receiver<()>) {
-    let progress = Progress::default();
+pub async fn attempt(driver: Rc<Driver>, job: Job, progress: Rc<Progress>, withdrawn: oneshot::Receiver<()>) {
     let exchange = exchange(&driver, &job, &progress);
     let ended = tokio::select! {
         biased;
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::io::ErrorKind;
 use std::net::Shutdown;
 
 use common::*;
@@ -235,3 +236,85 @@
         (!upstream.requests().is_empty()).then_some(())
     });
 }
+
+/// The text of a configuration with these upstreams, whose settings do not allow to cancel.
+fn without_cancel(discovery: &Discovery, known: &[serde_json::Value]) -> String {
+    let text = configuration(discovery.address, known, 30.0, 1024);
+    let without = text.replace(r#""cancel":true"#, r#""cancel":false"#);
+    assert_ne!(text, without);
+    without
+}
+
+/// Guards against work for nobody where a caller has left while its request waited for a connection: it does not
+/// go out when that comes up, whatever the settings allow. One whose caller is still there does.
+#[test]
+fn a_connection_that_comes_up_late_carries_nothing_for_a_caller_that_has_left() {
+    let (listener, filling) = full_listener();
+    let known = [endpoint("s-1", listener.local_addr().expect("bound"), 0, "ready")];
+    let discovery = Discovery::start();
+    let balancer = Balancer::start(&without_cancel(&discovery, &known));
+    let (mut leaves, mut stays) = (balancer.caller(), balancer.caller());
+    leaves.send_as("mine", "order", "leaves");
+    balancer.catches_up();
+    drop(leaves);
+    balancer.catches_up();
+    // The id is free again, and not answered with a conflict: its attempt is over and not just alone.
+    stays.send_as("mine", "order", "stays");
+    balancer.catches_up();
+    stays.0.set_nonblocking(true).expect("set");
+    assert!(stays.0.peek(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock));
+    stays.0.set_nonblocking(false).expect("set");
+    drop(filling);
+    let upstream = Upstream::on(listener, |_, _| ok("served"));
+    assert_eq!(stays.answer().expect("an answer").status(), 200);
+    let bodies: Vec<_> = upstream.requests().into_iter().map(|(_, request)| request.body).collect();
+    assert_eq!(bodies, [b"stays"]);
+}
+
+/// Guards the same for a request that waits for another attempt: the first ends after the caller has gone, in a
+/// way in which it would be sent again.
+#[test]
+fn an_attempt_that_fails_after_the_caller_has_left_is_the_last() {
+    let (fail, failing) = std::sync::mpsc::channel::<()>();
+    let failing = std::sync::Mutex::new(failing);
+    let script = move |_: usize, message: &Message| {
+        if message.line.starts_with("GET") {
+            let _ = failing.lock().expect("no panic").recv();
+            return status("503 Full\r\nX-Not-Run: 1");
+        }
+        ok("served")
+    };
+    let script = std::sync::Arc::new(script);
+    let upstreams: Vec<_> = (0..2)
+        .map(|_| {
+            let script = std::sync::Arc::clone(&script);
+            Upstream::start(move |number, message| script(number, message))
+        })
+        .collect();
+    let known = [
+        endpoint("s-1", upstreams[0].address, 0, "ready"),
+        endpoint("s-2", upstreams[1].address, 1, "ready"),
+    ];
+    let discovery = Discovery::start();
+    let balancer = Balancer::start(&without_cancel(&discovery, &known));
+    let seen = || upstreams.iter().map(|upstream| upstream.requests().len()).sum::<usize>();
+    // One whose caller stays is sent to the other.
+    let mut stays = balancer.caller();
+    stays.send("read", "");
+    wait_for("the first attempt", || (seen() == 1).then_some(()));
+    fail.send(()).expect("an upstream waits");
+    wait_for("the second attempt", || (seen() == 2).then_some(()));
+    fail.send(()).expect("an upstream waits");
+    assert_eq!(stays.answer().expect("an answer").status(), 503);
+    let mut leaves = balancer.caller();
+    leaves.send("read", "");
+    wait_for("the first attempt", || (seen() == 3).then_some(()));
+    drop(leaves);
+    balancer.catches_up();
+    fail.send(()).expect("an upstream waits");
+    // Whatever follows the failure is sent before what comes after the next answer.
+    for asked in 4..8 {
+        assert_eq!(stays.ask("order", "x").status(), 200);
+        assert_eq!(seen(), asked, "it was sent again");
+    }
+}
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use dahliahead::config::Config;
 use dahliahead::server;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use tokio::sync::{oneshot, watch};
 
 /// Longer than anything takes that works.
@@ -115,7 +116,14 @@
 impl Upstream {
     /// Starts one that answers by `script`, which is told the number of the request.
     pub fn start(script: impl Fn(usize, &Message) -> Reply + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a free port"), script)
+    }
+
+    /// Starts one on a listener that is there already.
+    pub fn on(
+        listener: TcpListener,
+        script: impl Fn(usize, &Message) -> Reply + Send + Sync + 'static,
+    ) -> Self {
         let address = listener.local_addr().expect("bound");
         let seen = Arc::new(Mutex::new(Seen::default()));
         let (shared, script) = (Arc::clone(&seen), Arc::new(script));
@@ -178,6 +186,25 @@
     seen.lock().expect("no panic").closed += 1;
 }
 
+/// A listener whose connections do not come up before it accepts: its queue is full of those that come with it.
+pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(0).expect("bound");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("bound");
+    let mut filling = Vec::new();
+    let mut waited = 0;
+    // On loopback one comes up at once or, the queue full, not at all.
+    while waited < 2 {
+        match TcpStream::connect_timeout(&address, Duration::from_millis(500)) {
+            Ok(stream) => filling.push(stream),
+            Err(_) => waited += 1,
+        }
+    }
+    (listener, filling)
+}
+
 /// An address where nothing listens.
 pub fn dead_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
@@ -324,6 +351,15 @@
         (Self::start(&configuration(discovery.address, known, aim, 1024)), discovery)
     }
 
+    /// Returns once the balancer has taken in all that was sent to it before.
+    pub fn catches_up(&self) {
+        for _ in 0..3 {
+            let mut caller = self.caller();
+            caller.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+            caller.answer().expect("an answer");
+        }
+    }
+
     pub fn caller(&self) -> Caller {
         Caller::connect(self.address)
     }
