See callers leave behind bytes that they sent ahead of their answer

Cause: hyper's mid_message_detect_eof looks for the end of a busy connection only while its read buffer is empty. A caller that had sent a part of a next request, or noise that begins like one, and then left was not seen to leave: its request went on, further attempts included, until its time was up. Screened and Unread now read ahead while an answer is made, 16 KiB at most being kept for hyper; the connection ends with the answer if there was more. Ruled out: a full write side, after which nothing is sent on. Both new tests fail without the change.

--- a/dahliahead/src/screen.rs
+++ b/dahliahead/src/screen.rs
@@ -3,10 +3,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -17,10 +19,19 @@
 #[error("the lengths contradict each other")]
 pub struct Ambiguous;
 
-/// A caller's bytes that hyper has read and that belong to no request taken so far.
+/// Bytes at most that are kept of what a caller sends ahead of its answer: a head's. Callers send a single
+/// request at a time, and a memory of many must not fill.
+const AHEAD_MOST: usize = 16 * 1024;
+
+/// A caller's bytes that belong to no request taken so far.
 #[derive(Debug, Default)]
 pub struct Unread {
+    /// Those that hyper has read.
     bytes: RefCell<Vec<u8>>,
+    /// Those that it has yet to read, taken from the socket ahead of it.
+    ahead: RefCell<Vec<u8>>,
+    /// There were more than are kept: what comes next can't be read as a request.
+    overrun: Cell<bool>,
     /// Bytes of the current request's body that are yet to come.
     body_left: Cell<u64>,
     /// When the first of the bytes came.
@@ -79,6 +90,33 @@
         ![&b"GET "[..], b"POST "].iter().any(begins)
     }
 
+    /// Waits until the caller of the request that is being answered has left. Hyper stops to read, and so to
+    /// hear of it, once anything has come behind the request; so that is read here.
+    pub async fn left(&self, stream: &TcpStream) {
+        let mut piece = [0; 1024];
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut piece) {
+                Ok(0) => return,
+                Ok(bytes) => {
+                    let mut ahead = self.ahead.borrow_mut();
+                    if ahead.len() + bytes > AHEAD_MOST {
+                        self.overrun.set(true);
+                    } else {
+                        ahead.extend_from_slice(&piece[..bytes]);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Whether a part of what stands behind the current request was thrown away.
+    #[must_use]
+    pub fn is_overrun(&self) -> bool {
+        self.overrun.get()
+    }
+
     fn came(&self, mut bytes: &[u8]) {
         let body = usize::try_from(self.body_left.get()).unwrap_or(usize::MAX).min(bytes.len());
         self.body_left.set(self.body_left.get() - body as u64);
@@ -130,58 +168,86 @@
 
 /// A caller's socket that notes what is read from it.
 pub struct Screened {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     unread: Rc<Unread>,
 }
 
 impl Screened {
     /// Notes in `unread` what is read from the socket.
     #[must_use]
-    pub fn new(stream: TcpStream, unread: Rc<Unread>) -> Self {
+    pub fn new(stream: Rc<TcpStream>, unread: Rc<Unread>) -> Self {
         Self { stream, unread }
     }
+
+    /// Writes with `write` as soon as the socket takes something.
+    fn poll_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
 }
 
 impl AsyncRead for Screened {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.unread.came(&buffer.filled()[before..]);
-        Poll::Ready(Ok(()))
+        let mut ahead = self.unread.ahead.take();
+        if !ahead.is_empty() {
+            let rest = ahead.split_off(ahead.len().min(buffer.remaining()));
+            self.unread.ahead.replace(rest);
+            self.unread.came(&ahead);
+            buffer.put_slice(&ahead);
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            let unfilled = buffer.initialize_unfilled();
+            match self.stream.try_read(unfilled) {
+                Ok(bytes) => {
+                    self.unread.came(&unfilled[..bytes]);
+                    buffer.advance(bytes);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
 impl AsyncWrite for Screened {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_with(context, |stream| stream.try_write(bytes))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        self.poll_with(context, |stream| stream.try_write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 }
 
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -280,8 +280,9 @@
 async fn connection(callers: &Rc<Callers>, stream: TcpStream, link: &Rc<Link>) {
     // Without it answers would wait for acknowledgements; one that can't be set is no reason to hang up.
     let _ = stream.set_nodelay(true);
+    let stream = Rc::new(stream);
     let service = service_fn(|request| {
-        let driver = &callers.driver;
+        let (driver, stream) = (&callers.driver, Rc::clone(&stream));
         // What it began with tells when it must be whole.
         let begun = link.unread.since().filter(|_| link.used.get()).unwrap_or(link.since.get());
         let sound = link.unread.take_request();
@@ -292,7 +293,8 @@
             if driver.crowded() {
                 callers.make_room();
             }
-            let mut response = respond(callers, request, sound, begun + BODY_WITHIN, &link.unread).await;
+            let mut response =
+                respond(callers, request, sound, begun + BODY_WITHIN, &link.unread, &stream).await;
             link.busy.set(false);
             link.since.set(Instant::now());
             if *callers.phases.borrow() != Phase::Serving || driver.full() {
@@ -304,8 +306,8 @@
     let mut server = http1::Builder::new();
     // The time for a head is kept below, as it depends on what came before.
     server.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(HEAD_MOST);
-    let stream = Screened::new(stream, Rc::clone(&link.unread));
-    let mut served = pin!(server.serve_connection(TokioIo::new(stream), service));
+    let screened = Screened::new(Rc::clone(&stream), Rc::clone(&link.unread));
+    let mut served = pin!(server.serve_connection(TokioIo::new(screened), service));
     let mut phases = callers.phases.clone();
     let closing = async {
         tokio::select! {
@@ -400,6 +402,7 @@
     sound: Result<(), Ambiguous>,
     whole_by: Instant,
     unread: &Unread,
+    stream: &TcpStream,
 ) -> Response<Full<Bytes>> {
     let driver = &callers.driver;
     if request.uri().path() == "/_health" {
@@ -418,13 +421,13 @@
         if driver.full() || callers.spares_none() {
             return Ok(Answer::Refused { retry_after: driver.retry_after() });
         }
-        answer(callers, taken).await.ok_or(BadRequest::Open)
+        answer(callers, taken, unread.left(stream)).await.ok_or(BadRequest::Open)
     };
     let (mut response, closes) = match answer.await {
         Ok(answer) => (final_answer(answer), chunked),
         Err(error) => (plain(error.status(), error.to_string()), chunked || error.closes()),
     };
-    if closes {
+    if closes || unread.is_overrun() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -464,7 +467,7 @@
 }
 
 /// Has the request answered; `None` if one with its id is open.
-async fn answer(callers: &Callers, taken: Taken) -> Option<Answer> {
+async fn answer(callers: &Callers, taken: Taken, left: impl Future<Output = ()>) -> Option<Answer> {
     let driver = &callers.driver;
     let mut phases = callers.phases.clone();
     let overdue = taken.deadline + LAST_WORD;
@@ -473,6 +476,8 @@
     let answer = tokio::select! {
         biased;
         answer = answer => answer.unwrap_or(Answer::Failed),
+        // Nobody reads this one; the connection finds the same end behind it.
+        () = left => Answer::Failed,
         () = sleep_until(overdue) => Answer::Failed,
         // The program ends: better a failure than a connection that breaks.
         _ = phases.wait_for(|&phase| phase == Phase::Ending) => Answer::Failed,
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -318,3 +318,64 @@
         assert_eq!(seen(), asked, "it was sent again");
     }
 }
+
+/// Guards against a caller that leaves unseen: hyper listens no more once something has come behind the request,
+/// be it a part of a next one, a whole one, or more than is kept of it, together with the request or later.
+#[test]
+fn a_caller_is_seen_to_leave_behind_what_it_sent_ahead() {
+    let whole = "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: next\r\nX-Tenant: acme\r\n\r\n";
+    for behind in ["GET /re".to_owned(), whole.to_owned(), format!("GET /{}", "x".repeat(1 << 20))] {
+        for together in [true, false] {
+            let upstream = Upstream::start(|_, _| Reply::Silence);
+            let (balancer, _discovery) =
+                Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
+            let mut caller = balancer.caller();
+            let request = "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\n\r\n";
+            if together {
+                caller.raw([request, &behind].concat().as_bytes());
+            } else {
+                caller.raw(request.as_bytes());
+                upstream.wait_requests(1);
+                caller.raw(behind.as_bytes());
+            }
+            upstream.wait_requests(1);
+            drop(caller);
+            upstream.wait_closed(1);
+            assert_eq!(upstream.requests().len(), 1, "{behind:.20}, together: {together}");
+        }
+    }
+}
+
+/// Guards what is read ahead: a next request that comes early is answered after the first, whole, and one that
+/// is too long to be kept ends the connection with the first answer.
+#[test]
+fn a_request_sent_ahead_is_answered_in_its_turn() {
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let upstream = Upstream::start(move |_, message| {
+        if message.body == b"held" {
+            let _ = held.lock().expect("no panic").recv();
+        }
+        ok(std::str::from_utf8(&message.body).expect("text"))
+    });
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
+    let mut caller = balancer.caller();
+    caller.send("order", "held");
+    upstream.wait_requests(1);
+    caller.send("order", "second");
+    balancer.catches_up();
+    caller.send("order", "third");
+    balancer.catches_up();
+    release.send(()).expect("the upstream waits");
+    for body in [&b"held"[..], b"second", b"third"] {
+        assert_eq!(caller.answer().expect("an answer").body, body);
+    }
+    caller.send("order", "held");
+    upstream.wait_requests(4);
+    caller.raw(format!("GET /read?{} HTTP/1.1\r\n\r\n", "x".repeat(1 << 18)).as_bytes());
+    balancer.catches_up();
+    release.send(()).expect("the upstream waits");
+    let answer = caller.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(caller.answer().is_none());
+}
