Read the list word by word, indented or not, and count silence from whole words

The clock of silence began anew with every chunk, so that bytes without a word kept a dead watch open for ever, and the first word had 5 s three times over. Ruled out: a limit on the size of a word, which stays. Both new tests fail without the change.

--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use crate::driver::Driver;
 use crate::upstream::{self, Dial};
@@ -73,13 +73,14 @@
     1.0
 }
 
-/// How long the first word may take: discovery works through calls in turn.
+/// How long the first word may take from when the watch is asked for: discovery works through calls in turn.
 const FIRST_WORD: Duration = Duration::from_secs(5);
-/// A watch says something every 2 s; silent for well over that, it is dead. What it would have told counts as
-/// told 6 s late at most, and by then a new watch must have been asked for and answered, which takes seconds.
+/// A watch says something every 2 s; with no whole word for well over that, it is dead. What it would have told
+/// counts as told 6 s late at most, and by then a new watch must have been asked for and answered, which takes
+/// seconds.
 const SILENCE: Duration = Duration::from_millis(3200);
-/// Bytes of one line at most, so that a broken discovery cannot fill the memory.
-const LINE_MOST: usize = 8 << 20;
+/// Bytes of one word at most, so that a broken discovery cannot fill the memory.
+const WORD_MOST: usize = 8 << 20;
 
 #[derive(Debug, Error)]
 enum WatchError {
@@ -93,9 +94,9 @@
     Http(#[from] hyper::Error),
     #[error("ended")]
     Ended,
-    #[error("a line is too long")]
-    LongLine,
-    #[error("a line is malformed: {0}")]
+    #[error("a word is too long")]
+    LongWord,
+    #[error("a word is malformed: {0}")]
     Json(#[from] serde_json::Error),
 }
 
@@ -111,6 +112,7 @@
     since: u64,
     number: u64,
 ) -> Result<std::convert::Infallible, WatchError> {
+    let mut silent_at = Instant::now() + FIRST_WORD;
     let dial = Dial { address, patience: FIRST_WORD };
     let mut conn =
         upstream::connect(driver.reserved_permit(), dial).await.map_err(|_| WatchError::Connect)?;
@@ -119,36 +121,42 @@
         .body(Full::<Bytes>::default())
         .unwrap_or_default();
     let response =
-        timeout(FIRST_WORD, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+        timeout_at(silent_at, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
     let mut body = response.into_body();
     let mut text: Vec<u8> = Vec::new();
-    let mut patience = FIRST_WORD;
     let mut heard = false;
     loop {
-        let frame = timeout(patience, body.frame()).await.map_err(|_| WatchError::Silent)?;
+        // Bytes alone are no word: ones that keep coming and come to no end must not pass for a watch.
+        let frame = timeout_at(silent_at, body.frame()).await.map_err(|_| WatchError::Silent)?;
         let Ok(data) = frame.ok_or(WatchError::Ended)??.into_data() else { continue };
-        patience = SILENCE;
-        // A chunk may hold several lines, or a part of one.
-        let mut rest = &data[..];
-        while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
-            text.extend_from_slice(&rest[..end]);
-            rest = &rest[end + 1..];
-            let line = text.trim_ascii();
-            if !line.is_empty() {
-                driver.learn(number, serde_json::from_slice(line)?);
-            } else if !heard {
+        text.extend_from_slice(&data);
+        // A chunk may hold several words, or a part of one, and a word several lines.
+        let mut words = serde_json::Deserializer::from_slice(&text).into_iter::<Update>();
+        let mut spoke = false;
+        for word in words.by_ref() {
+            match word {
+                Ok(update) => driver.learn(number, update),
+                Err(error) if error.is_eof() => break,
+                Err(error) => return Err(error.into()),
+            }
+            spoke = true;
+        }
+        let taken = words.byte_offset();
+        text.drain(..taken);
+        // An empty line is a word as well, but not one within another.
+        if spoke || (text.is_empty() && data.contains(&b'\n')) {
+            if !heard && !spoke {
                 // Nothing has changed since; the watch stands all the same.
                 driver.learn(number, Update { index: since, snapshot: false, endpoints: Vec::new() });
             }
             heard = true;
-            text.clear();
+            silent_at = Instant::now() + SILENCE;
         }
-        text.extend_from_slice(rest);
-        if text.len() > LINE_MOST {
-            return Err(WatchError::LongLine);
+        if text.len() > WORD_MOST {
+            return Err(WatchError::LongWord);
         }
     }
 }
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -250,6 +250,11 @@
         Self { address, watches }
     }
 
+    /// The next watch that the balancer has opened, if it has.
+    pub fn next_watch(&self) -> Option<(String, Watch)> {
+        self.watches.try_recv().ok().map(|(line, feed)| (line, Watch(feed)))
+    }
+
     /// The next watch that the balancer opens.
     pub fn watch(&self) -> (String, Watch) {
         let (line, feed) = self.watches.recv_timeout(LONG).expect("the balancer opens a watch");
@@ -279,6 +284,11 @@
         self.0.send(Some(bytes.to_vec())).expect("the watch stands");
     }
 
+    /// Says so much if the balancer still listens.
+    pub fn trickles(&self, bytes: &[u8]) {
+        let _ = self.0.send(Some(bytes.to_vec()));
+    }
+
     pub fn says(&self, index: u64, whole: bool, endpoints: &[Value]) {
         let line = json!({"index": index, "snapshot": whole, "endpoints": endpoints});
         self.bytes(format!("{line}\n").as_bytes());
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -169,3 +169,50 @@
     old.wait_closed(1);
     assert_eq!(caller.ask("order", "two").body, b"new");
 }
+
+/// Guards against lists that are passed over for their form: one may come indented, over several lines, in
+/// pieces, with others before and behind it.
+#[test]
+fn a_list_may_come_indented() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let (balancer, discovery) = Balancer::with(&[endpoint("s-1", old.address, 0, "ready")], 30.0);
+    let mut caller = balancer.caller();
+    assert_eq!(caller.ask("order", "one").body, b"old");
+    let (_, watch) = discovery.watch();
+    let said = |index: u64, endpoints: &[serde_json::Value]| {
+        let word = serde_json::json!({"index": index, "snapshot": false, "endpoints": endpoints});
+        format!("{word:#}\n")
+    };
+    let drained = said(8, &[endpoint("s-1", old.address, 0, "draining")]);
+    for piece in drained.as_bytes().chunks(11) {
+        watch.bytes(piece);
+    }
+    old.wait_closed(1);
+    let ready = said(9, &[endpoint("s-2", new.address, 1, "ready")]);
+    watch.bytes(format!("\n{}{ready}\n{}", said(9, &[]), said(10, &[])).as_bytes());
+    wait_for("the list is taken in", || (caller.ask("order", "two").status() == 200).then_some(()));
+    assert_eq!(old.requests().len(), 1);
+    watch.end();
+    let (line, _watch) = discovery.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=10 HTTP/1.1");
+}
+
+/// Guards the clock of silence: bytes that keep coming and make no word, before the first, after it or within
+/// one, are as dead a watch as none.
+#[test]
+fn bytes_without_a_word_are_silence() {
+    for begun in ["", "\n", "\n{\"index\": 8, \"endpoints\": ["] {
+        let discovery = Discovery::beating(LONG);
+        let _balancer = Balancer::start(&configuration(discovery.address, &[], 30.0, 1024));
+        let (_, watch) = discovery.watch();
+        watch.bytes(begun.as_bytes());
+        let mut next = None;
+        wait_for("a new watch", || {
+            watch.trickles(b" ");
+            next = discovery.next_watch();
+            next.is_some().then_some(())
+        });
+        let (line, _watch) = next.expect("it was waited for");
+        assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
+    }
+}
