Take the list's version from the watch that counts, not from where discovery was

Cause: Driver::learn noted the version of every word, also of the watch at the old address, which is heard after SIGHUP until the new one has spoken. With the old one ahead, a new watch that broke before its first word was asked for again from past what it had to tell, and the changes in between were lost. Found by reading; the new test fails without the change.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -436,11 +436,13 @@
     pub fn learn(self: &Rc<Self>, number: u64, update: Update) {
         {
             let mut core = self.core.borrow_mut();
-            core.index = update.index;
-            if number == core.watch_number
-                && let Some(old) = core.old_watch.take()
-            {
-                old.abort();
+            // Where discovery was, versions may be ahead of those where it is, and what lies between them would
+            // never be asked for.
+            if number == core.watch_number {
+                core.index = update.index;
+                if let Some(old) = core.old_watch.take() {
+                    old.abort();
+                }
             }
         }
         let kind = if update.snapshot { ListUpdate::Whole } else { ListUpdate::Patch };
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -216,3 +216,25 @@
         assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
     }
 }
+
+/// Guards what the next watch is asked for: a late word of the one where discovery was tells nothing of the
+/// versions where it is.
+#[test]
+fn the_version_is_that_of_the_watch_that_counts() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let (balancer, old) = Balancer::with(&[], 30.0);
+    let (_, old_watch) = old.watch();
+    old_watch.says(8, false, &[]);
+    let new = Discovery::beating(LONG);
+    let mut caller = balancer.caller();
+    old_watch.says(9, false, &[endpoint("s-1", upstream.address, 0, "ready")]);
+    wait_for("version 9 is heard", || (caller.ask("read", "").status() == 200).then_some(()));
+    balancer.move_discovery(&new);
+    let (line, new_watch) = new.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=9 HTTP/1.1");
+    old_watch.says(100, false, &[endpoint("s-1", upstream.address, 0, "draining")]);
+    wait_for("the old watch is heard", || (caller.ask("read", "").status() != 200).then_some(()));
+    new_watch.end();
+    let (line, _watch) = new.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=9 HTTP/1.1");
+}
