--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use peathatch::interface::{
     AttemptNumber, Class, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase, Request,
-    RequestId, Settings, SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    RequestId, SettingsError, TenantId, Time, UpstreamId, ZoneId,
 };
 use peathatch::{Action, Balancer, Event};
 use peathatch_wirehost::setup::Names;
@@ -166,8 +166,12 @@
         let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
         let classes = loaded.settings.classes.clone();
         let retry_after = loaded.settings.allowed.retry_after;
-        // Over HTTP lists come on a watch only, also where the settings say that they come by themselves.
-        let settings = Settings { discovery: DiscoveryMode::Subscribe, ..loaded.settings };
+        let mut settings = loaded.settings;
+        if settings.discovery == DiscoveryMode::Push {
+            // Over HTTP these lists come on a watch too, but count as told without one, however lately it was asked.
+            settings.discovery = DiscoveryMode::Subscribe;
+            settings.rules.ask_within = None;
+        }
         let core = Core {
             balancer: Balancer::new(settings, config.seed)?,
             events: VecDeque::new(),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -682,12 +682,11 @@
         }
         match update {
             ListUpdate::Broken => {
-                // Copies whose calls fail together must not come back together.
-                let backoff = (self.discovery.backoff_s * 2.0)
-                    .clamp(RESUBSCRIBE_S, self.ask_within().max(RESUBSCRIBE_S));
-                self.discovery.subscribed = false;
-                self.discovery.backoff_s = backoff;
-                self.discovery.ask_at = now + between(&mut self.rng, (backoff / 2.0, backoff));
+                // Copies whose calls fail together must not come back together; what is pushed counts meanwhile.
+                let most = self.ask_within().max(RESUBSCRIBE_S);
+                let backoff_s = (self.discovery.backoff_s * 2.0).clamp(RESUBSCRIBE_S, most);
+                let part = self.settings.rules.ask_within.map_or(0.0, |_| between(&mut self.rng, (0.5, 1.0)));
+                self.discovery = Discovery { subscribed: false, ask_at: now + backoff_s * part, backoff_s };
             }
             ListUpdate::Whole(members) | ListUpdate::StaleCopy(members) | ListUpdate::Patch(members) => {
                 for member in members {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -122,7 +122,8 @@
     pub answer_slack: Duration,
     /// Time within which sends to a draining or gone upstream must end.
     pub drain_grace: Duration,
-    /// A copy without a subscription must ask at least this often; `None` if lists are pushed.
+    /// A copy without a subscription must ask at least this often; `None` if lists are pushed, and count as told
+    /// also while it has none.
     pub ask_within: Option<Duration>,
     /// The least fraction of its capacity with which an upstream starts, above 0 and up to 1.
     pub cold_share: f64,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -504,3 +504,24 @@
     });
     assert!(!sent(&actions) && actions.contains(&Action::Fail { request: RequestId(1) }), "{actions:?}");
 }
+
+/// Guards drains where lists are pushed: what is told counts whether or not a copy has a subscription, so that one
+/// that broke is had again at the next sweep, also after many failures. Where copies ask, they come back apart.
+#[test]
+fn a_subscription_to_pushed_lists_is_not_waited_for() {
+    for (ask_within, at_once) in [(None, true), (Some(millis(10_000)), false)] {
+        let mut settings = settings(false, true);
+        settings.rules.ask_within = ask_within;
+        let mut bench = common::Bench::new(settings, 3, vec![common::member(0)]);
+        bench.pass(millis(1000));
+        let mut asked = 0;
+        for _ in 0..6 {
+            bench.tell(Event::List(ListUpdate::Broken));
+            // A sweep comes five times a second.
+            bench.now += millis(200);
+            let actions = bench.tell(Event::Wake);
+            asked += actions.iter().filter(|action| **action == Action::Subscribe).count();
+        }
+        assert_eq!(asked == 6, at_once, "asked {asked} times where asking is due within {ask_within:?}");
+    }
+}
