Test signals that cross, and a connection that comes up after the drain

Both crossings proved sound as they stand: SIGTERM twice, SIGHUP before or after it, with one request out and one half in; and an attempt whose connection comes up only once its upstream drains, which goes elsewhere.

--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -379,3 +379,33 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     assert!(caller.answer().is_none());
 }
+
+/// Guards drains against attempts under way: what waits for its connection while its upstream begins to drain
+/// does not go out there, and is served elsewhere.
+#[test]
+fn a_connection_that_comes_up_after_the_drain_carries_nothing() {
+    let (listener, filling) = full_listener();
+    let draining = listener.local_addr().expect("bound");
+    let other = Upstream::start(|_, _| ok("other"));
+    let (balancer, discovery) = Balancer::with(&[endpoint("s-1", draining, 0, "ready")], 30.0);
+    let (_, watch) = discovery.watch();
+    let mut caller = balancer.caller();
+    caller.send("order", "one");
+    balancer.catches_up();
+    watch.says(
+        8,
+        false,
+        &[endpoint("s-1", draining, 0, "draining"), endpoint("s-2", other.address, 1, "ready")],
+    );
+    // A request that comes later goes to the other: the drain is heard.
+    assert_eq!(
+        wait_for("the drain", || Some(balancer.caller().ask("read", ""))
+            .filter(|answer| answer.status() == 200))
+        .body,
+        b"other"
+    );
+    drop(filling);
+    let drained = Upstream::on(listener, |_, _| ok("drained"));
+    assert_eq!(caller.answer().expect("an answer").body, b"other");
+    assert!(drained.requests().is_empty());
+}
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/callers.rs
@@ -376,6 +376,45 @@
     assert!(child.wait().expect("ends").success());
 }
 
+/// Guards the end against signals that come together, at the start, twice, in any order: what was taken before is
+/// answered, also when it was only half in, and the program ends in peace.
+#[test]
+fn signals_that_cross_end_the_program_in_peace() {
+    for signals in [["TERM", "TERM"], ["HUP", "TERM"], ["TERM", "HUP"]] {
+        let (release, held) = std::sync::mpsc::channel::<()>();
+        let held = std::sync::Mutex::new(held);
+        let upstream = Upstream::start(move |number, _| {
+            if number == 0 {
+                let _ = held.lock().expect("no panic").recv();
+            }
+            ok("served")
+        });
+        let (old, new) = (Discovery::start(), Discovery::start());
+        let known = [endpoint("s-1", upstream.address, 0, "ready")];
+        let file = configuration_file(&configuration(old.address, &known, 30.0, 1024));
+        let mut child = command_within(1024, &file).spawn().expect("starts");
+        let (address, _log) = address(&mut child);
+        let mut taken = Caller::connect(address);
+        taken.send("order", "one");
+        upstream.wait_requests(1);
+        let mut half = Caller::connect(address);
+        half.raw(b"POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: half\r\n");
+        std::fs::write(&file, configuration(new.address, &known, 30.0, 1024)).expect("written");
+        for signal in signals {
+            let sent = Command::new("kill").args([&format!("-{signal}"), &child.id().to_string()]).status();
+            assert!(sent.expect("sent").success());
+        }
+        if signals.contains(&"HUP") {
+            let _new_watch = new.watch();
+        }
+        half.raw(b"X-Tenant: acme\r\n\r\n");
+        assert_eq!(half.answer().expect("an answer").status(), 200, "{signals:?}");
+        release.send(()).expect("the upstream waits");
+        assert_eq!(taken.answer().expect("an answer").status(), 200, "{signals:?}");
+        assert!(child.wait().expect("ends").success(), "{signals:?}");
+    }
+}
+
 /// Guards what was taken against the kill that follows SIGTERM: it gets its one answer before, though an
 /// attempt that may have run is still out.
 #[test]
