--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -670,12 +670,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-
-    const CONFIGURATION: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {
-        "balancers": 1, "me": 0, "zone": "north", "zones": ["north"], "discovery": "automatic",
-        "lanes": [{"name": "read", "onTimeS": 1.0, "hardLimitS": 2.0, "effect": "idempotent"}],
-        "caps": {"tryLimit": 3},
-        "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 3.0, "overloadForS": 2.0}}}"#;
+    use crate::config::tests::CONFIGURATION;
 
     fn endpoint(number: usize, status: &str) -> Endpoint {
         let text = format!(r#"{{"name": "s-{number}", "address": "127.0.0.1:9", "status": "{status}"}}"#);
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -595,15 +595,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::tests::CONFIGURATION;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::task::{LocalSet, yield_now};
 
-    const CONFIGURATION: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {
-        "balancers": 1, "me": 0, "zone": "north", "zones": ["north"], "discovery": "automatic",
-        "lanes": [{"name": "read", "onTimeS": 1.0, "hardLimitS": 2.0, "effect": "idempotent"}],
-        "caps": {"tryLimit": 3},
-        "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 3.0, "overloadForS": 2.0}}}"#;
-
     /// Guards a request whose bytes come in two pieces, with the end of serving between them: it is answered
     /// before its connection closes.
     #[test]
