Move the inline tests of the real balancer to test files

driver.rs, server.rs, upstream.rs, screen.rs and config.rs held their tests inline. Each test reaches state that is not public (the table of names, a connection's unread bytes, counts of bytes written), so each file now has a test file of its own module; nothing was made public for them. The tests themselves are as they were, less one step of indentation.

--- /dev/null
+++ b/dahliahead/src/upstream/tests.rs
@@ -0,0 +1,111 @@
+//! What goes out on a connection, counted to the byte.
+
+use super::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
+
+fn call(method: Method, body: &'static [u8]) -> Call {
+    Call {
+        key: (method == Method::POST).then(|| HeaderValue::from_static("k-1")),
+        method,
+        uri: Uri::from_static("/order?k=7f"),
+        host: HeaderValue::from_static("origin.svc"),
+        id: HeaderValue::from_static("r-1"),
+        body: Bytes::from_static(body),
+    }
+}
+
+/// Guards the line between 'never ran' and 'may have run': the size reckoned beforehand is what goes out,
+/// so that a request short of one byte is known to be.
+#[test]
+fn the_size_reckoned_is_what_is_written() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("starts");
+    let calls = [call(Method::GET, b""), call(Method::POST, b""), call(Method::POST, b"instalments")];
+    for call in calls {
+        let request = call.request(Duration::from_millis(2500));
+        let size = size_on_wire(&request, call.body.len());
+        let written = runtime.block_on(async {
+            let (near, mut far) = duplex(1 << 16);
+            let (mut sender, connection) =
+                http1::handshake::<_, Full<Bytes>>(TokioIo::new(near)).await.expect("no bytes yet");
+            let upstream = async {
+                let mut bytes = vec![0; size as usize];
+                far.read_exact(&mut bytes).await.expect("so many bytes come");
+                far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                    .await
+                    .expect("read");
+                let mut more = Vec::new();
+                far.read_to_end(&mut more).await.expect("closed");
+                bytes.len() + more.len()
+            };
+            let (answer, _, written) = tokio::join!(sender.send_request(request), connection, upstream);
+            answer.expect("an answer");
+            written
+        });
+        assert_eq!(written as u64, size, "{:?}", call.method);
+    }
+}
+
+/// Guards a request against being answered by what was left over: bytes that have come before its first
+/// byte is written keep it from going out, also where the runtime has not yet heard of them.
+#[test]
+fn nothing_is_written_after_stray_bytes() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+    runtime.block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let near = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("accepted");
+        let far = listener.accept().await.expect("comes").0.into_std().expect("free");
+        let traffic = Rc::new(Traffic { written: Cell::new(0), may_read: Cell::new(u64::MAX) });
+        let sockets = Rc::new(Cell::new(1));
+        let _permit = Permit::of(&sockets);
+        let mut near = Counted { stream: near, traffic, _permit };
+        assert_eq!(near.write(b"GET").await.expect("clean"), 3);
+        near.traffic.begin_request();
+        std::io::Write::write_all(&mut &far, b"HTTP/1.1 200 OK\r\n").expect("written");
+        while near.check().is_ok() {
+            std::thread::yield_now();
+        }
+        assert!(near.write(b"GET").await.is_err());
+        assert_eq!(near.traffic.written.get(), 0);
+    });
+}
+
+/// Guards connections that are up: one whose socket does not take an option carries requests all the same.
+/// A Unix socket stands in for it, as it knows nothing of `TCP_NODELAY`.
+#[test]
+fn a_connection_is_kept_though_an_option_cannot_be_set() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (near, far) = std::os::unix::net::UnixStream::pair().expect("free");
+        near.set_nonblocking(true).expect("a socket");
+        far.set_nonblocking(true).expect("a socket");
+        let near = std::net::TcpStream::from(std::os::fd::OwnedFd::from(near));
+        let near = TcpStream::from_std(near).expect("not blocking");
+        assert!(near.set_nodelay(true).is_err());
+        let mut far = tokio::net::UnixStream::from_std(far).expect("not blocking");
+        let sockets = Rc::new(Cell::new(0));
+        let mut connection = open(Permit::of(&sockets), near).await.expect("it is up");
+        connection.traffic.begin_request();
+        let upstream = async {
+            let _ = far.read(&mut [0; 1024]).await.expect("a request comes");
+            far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("open");
+        };
+        let request = call(Method::GET, b"").request(Duration::from_secs(1));
+        let (answer, ()) = tokio::join!(connection.sender.send_request(request), upstream);
+        assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+    });
+}
+
+/// Guards the same line for an attempt that is given up half-way.
+#[test]
+fn a_request_is_whole_with_its_last_byte() {
+    let progress = Progress::default();
+    assert!(!progress.whole() && !progress.begun());
+    let traffic = Rc::new(Traffic { written: Cell::new(0), may_read: Cell::new(0) });
+    progress.size.set(200);
+    progress.traffic.replace(Some(Rc::clone(&traffic)));
+    assert!(!progress.whole() && !progress.begun());
+    traffic.written.set(199);
+    assert!(!progress.whole() && progress.begun());
+    traffic.written.set(200);
+    assert!(progress.whole());
+}
