Cut a watch's words by their brackets: a list cut behind a number's point broke it

Checked: the copies' logs. At fault: follow() in discovery.rs took is_eof() of a parse of the part in hand for 'not whole yet'; for a number that is skipped, cut behind its point, serde_json says 'invalid number'.

--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -126,28 +126,20 @@
         return Err(WatchError::Status(response.status()));
     }
     let mut body = response.into_body();
-    let mut text: Vec<u8> = Vec::new();
+    let mut words = Words::default();
     let mut heard = false;
     loop {
         // Bytes alone are no word: ones that keep coming and come to no end must not pass for a watch.
         let frame = timeout_at(silent_at, body.frame()).await.map_err(|_| WatchError::Silent)?;
         let Ok(data) = frame.ok_or(WatchError::Ended)??.into_data() else { continue };
-        text.extend_from_slice(&data);
-        // A chunk may hold several words, or a part of one, and a word several lines.
-        let mut words = serde_json::Deserializer::from_slice(&text).into_iter::<Update>();
+        words.text.extend_from_slice(&data);
         let mut spoke = false;
-        for word in words.by_ref() {
-            match word {
-                Ok(update) => driver.learn(number, update),
-                Err(error) if error.is_eof() => break,
-                Err(error) => return Err(error.into()),
-            }
+        while let Some(word) = words.next() {
+            driver.learn(number, serde_json::from_slice(&word)?);
             spoke = true;
         }
-        let taken = words.byte_offset();
-        text.drain(..taken);
         // An empty line is a word as well, but not one within another.
-        if spoke || (text.is_empty() && data.contains(&b'\n')) {
+        if spoke || (words.text.is_empty() && data.contains(&b'\n')) {
             if !heard && !spoke {
                 // Nothing has changed since; the watch stands all the same.
                 driver.learn(number, Update { index: since, snapshot: false, endpoints: Vec::new() });
@@ -155,8 +147,46 @@
             heard = true;
             silent_at = Instant::now() + SILENCE;
         }
-        if text.len() > WORD_MOST {
+        if words.text.len() > WORD_MOST {
             return Err(WatchError::LongWord);
         }
     }
 }
+
+/// Cuts what a watch says into words. A chunk may hold several words, or a part of one, and a word several lines;
+/// where a word ends only its brackets tell, as a parser that is given a part finds fault with some of them.
+#[derive(Default)]
+struct Words {
+    /// What has come and is no whole word yet.
+    text: Vec<u8>,
+    scanned: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Words {
+    /// The next whole word. Outside objects any byte but a space is one, which does not parse.
+    fn next(&mut self) -> Option<Vec<u8>> {
+        while let Some(&byte) = self.text.get(self.scanned) {
+            self.scanned += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' => self.quoted = !self.quoted,
+                _ if self.quoted => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            if self.depth == 0 && !self.quoted && !byte.is_ascii_whitespace() {
+                return Some(self.text.drain(..std::mem::take(&mut self.scanned)).collect());
+            }
+        }
+        if self.depth == 0 && !self.quoted {
+            self.text.clear();
+            self.scanned = 0;
+        }
+        None
+    }
+}
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -238,3 +238,35 @@
     let (line, _watch) = new.watch();
     assert_eq!(line, "GET /catalog/members?follow=1&since=9 HTTP/1.1");
 }
+
+/// Found on the larger fleet: a list that a chunk cut right behind the point of a number was taken for malformed, and
+/// the watch with it. A word may be cut at any byte, within numbers, names, escapes and nested values.
+#[test]
+fn a_word_may_be_cut_anywhere() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let (balancer, discovery) = Balancer::with(&[endpoint("s-1", old.address, 0, "ready")], 30.0);
+    let (_, watch) = discovery.watch();
+    let mut drained = endpoint("s-1", old.address, 0, "draining");
+    drained["weight"] = 1.25e-7.into();
+    drained["zone"] = "}]\"\\{[é".into();
+    drained["more"] = serde_json::json!([{"deep": [-0.5, null, true]}, ""]);
+    let word = |index: usize, endpoints: &[serde_json::Value]| {
+        serde_json::json!({"index": index, "snapshot": false, "endpoints": endpoints}).to_string()
+    };
+    let length = word(1000, std::slice::from_ref(&drained)).len();
+    for cut in 1..length {
+        let word = word(1000 + cut, std::slice::from_ref(&drained));
+        watch.bytes(&word.as_bytes()[..cut]);
+        watch.bytes(&word.as_bytes()[cut..]);
+    }
+    let last = word(5000, &[endpoint("s-2", new.address, 0, "ready")]);
+    for byte in last.as_bytes() {
+        watch.bytes(&[*byte]);
+    }
+    let mut caller = balancer.caller();
+    wait_for("the last list is taken in", || (caller.ask("read", "").body == b"new").then_some(()));
+    assert!(discovery.next_watch().is_none(), "the watch broke");
+    watch.end();
+    let (line, _watch) = discovery.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=5000 HTTP/1.1");
+}
