Choose where a keyed request may be repeated by the rule itself, and drop the list of cells

may_repeat() says where a repeat may go; pick() kept a list of the upstreams of each cell and its own test for zones beside it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,7 +11,6 @@
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use oorandom::Rand64;
@@ -569,7 +568,6 @@
     slots: FxHashMap<UpstreamId, usize>,
     free: Vec<usize>,
     ready: Vec<usize>,
-    cells: BTreeMap<u32, Vec<usize>>,
     /// Share of the calls that met crowding lately, and the time of the next drop for it.
     crowding: f64,
     drop_after: f64,
@@ -615,7 +613,6 @@
             slots: FxHashMap::default(),
             free: Vec::new(),
             ready: Vec::new(),
-            cells: BTreeMap::new(),
             crowding: 0.0,
             drop_after: 0.0,
             tier_failures: 0.0,
@@ -723,7 +720,6 @@
         let mut order: Vec<(UpstreamId, usize)> = self.slots.iter().map(|(&id, &slot)| (id, slot)).collect();
         order.sort_unstable();
         self.ready.clear();
-        self.cells.clear();
         self.largest_weight = 1e-9;
         let (mut home, mut away) = (Vec::new(), Vec::new());
         for (id, slot) in order {
@@ -740,7 +736,6 @@
             upstream.home = upstream.member.zone == Some(self.settings.zone);
             self.largest_weight = self.largest_weight.max(upstream.member.weight);
             self.ready.push(slot);
-            self.cells.entry(upstream.member.cell).or_default().push(slot);
             if upstream.home { home.push(slot) } else { away.push(slot) }
         }
         if !self.ready.is_empty() {
@@ -832,30 +827,23 @@
         if class.late_worth > 0.0 && !blind { entry.deadline } else { entry.deadline.min(aim) }
     }
 
-    /// Picks an upstream: two draws from the own zone's members or, for what the own zone's suppressor
-    /// declines, from the others; then whatever is left.
+    /// Picks an upstream for a request: where it may go at all if it may have run, else by its zone.
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let entry = self.ledger.entries.get(&id)?;
-        let scope = match self.settings.classes[entry.class.0].effect {
-            Effect::Keyed { scope, .. } => scope,
-            _ => DedupScope::All,
-        };
-        match (entry.first_run(), scope) {
-            (Some(&Attempt { cell, .. }), DedupScope::Cell) => {
-                let members = self.cells.remove(&cell)?;
-                let picked = self.draw_two(now, id, &members);
-                self.cells.insert(cell, members);
-                picked
-            }
-            (Some(&Attempt { zone, .. }), DedupScope::Zone) => {
-                let same = |&&slot: &&usize| self.upstreams[slot].member.zone == zone;
-                let members: Vec<usize> = self.ready.iter().filter(same).copied().collect();
-                self.draw_two(now, id, &members)
-            }
-            _ => self.pick_plain(now, id),
+        let effect = self.settings.classes[entry.class.0].effect;
+        let first = entry.first_run();
+        if first.is_none()
+            || !matches!(effect, Effect::Keyed { scope: DedupScope::Zone | DedupScope::Cell, .. })
+        {
+            return self.pick_plain(now, id);
         }
+        let allowed = |&&slot: &&usize| may_repeat(now, effect, first, &self.upstreams[slot].member);
+        let members: Vec<usize> = self.ready.iter().filter(allowed).copied().collect();
+        self.draw_two(now, id, &members)
     }
 
+    /// Two draws from the own zone's members or, for what the own zone's suppressor declines, from the others;
+    /// then whatever is left.
     fn pick_plain(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let home = std::mem::take(&mut self.subset.home.members);
         let away = std::mem::take(&mut self.subset.away.members);
@@ -1122,14 +1110,11 @@
         }
         let home = upstream.home;
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
-        let failed = match outcome {
-            Outcome::NotSent | Outcome::Withdrawn => return,
-            _ if hasty => return,
-            Outcome::Good => false,
-            // Who turns calls away has none in flight: uncounted, it would draw ever more of them.
-            Outcome::Refused | Outcome::Error | Outcome::TimedOut => true,
-            Outcome::ConnectFailed | Outcome::Reset => true,
-        };
+        if hasty || matches!(outcome, Outcome::NotSent | Outcome::Withdrawn) {
+            return;
+        }
+        // Who turns calls away has none in flight: uncounted, it would draw ever more of them.
+        let failed = outcome != Outcome::Good;
         if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed) {
             upstream.heard = now;
         }
