Count an attempt's time and lateness from when its connection was up

Checked: counters by second in each copy. n0, second 8: 'crowd 0.59 all 18.9/30.4 infl 2 ready 4 aside 2 meet[cf 2 err 1 late 1 ok 4] req 31 denied 22'. Ruled out: congestion, as at most 5 calls were in flight on 4 upstreams. At fault: took: job.asked.elapsed() in Driver::attempt_ended, which held the wait for the connection, and late by entry.arrived in the module's attempt_ended, which held what earlier attempts had lost.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -388,8 +388,8 @@
         self.handle(Event::ClientLeft(id));
     }
 
-    /// An attempt is over.
-    pub fn attempt_ended(self: &Rc<Self>, job: &Job, ended: Ended) {
+    /// An attempt is over, which took so long.
+    pub fn attempt_ended(self: &Rc<Self>, job: &Job, took: Duration, ended: Ended) {
         let finished = {
             let mut core = self.core.borrow_mut();
             let Some(held) = core.requests.get_mut(&job.request) else { return };
@@ -411,7 +411,7 @@
             request: job.request,
             attempt: job.attempt,
             outcome: ended.outcome,
-            took: job.asked.elapsed(),
+            took,
             finished,
             load: ended.load,
         });
--- a/dahliahead/src/driver/tests.rs
+++ b/dahliahead/src/driver/tests.rs
@@ -3,6 +3,13 @@
 use super::*;
 use crate::config::tests::CONFIGURATION;
 
+impl Driver {
+    /// The number of an upstream that is listed.
+    pub(crate) fn number_of(&self, name: &str) -> UpstreamId {
+        self.core.borrow().ids[name]
+    }
+}
+
 fn endpoint(number: usize, status: &str) -> Endpoint {
     let text = format!(r#"{{"name": "s-{number}", "address": "127.0.0.1:9", "status": "{status}"}}"#);
     serde_json::from_str(&text).expect("an endpoint")
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -307,12 +307,14 @@
 pub struct Progress {
     traffic: RefCell<Option<Rc<Traffic>>>,
     size: Cell<u64>,
+    /// When its latest connection was up and it began to go out.
+    sent: Cell<Option<Instant>>,
 }
 
 impl Default for Progress {
     fn default() -> Self {
         // Before anything is sent, no size is reached.
-        Self { traffic: RefCell::default(), size: Cell::new(u64::MAX) }
+        Self { traffic: RefCell::default(), size: Cell::new(u64::MAX), sent: Cell::default() }
     }
 }
 
@@ -327,6 +329,13 @@
         self.written() > 0
     }
 
+    /// How long the upstream has had the request. What its connection took to come up tells of the way there and
+    /// not of its work: counted in, connections that come up late would pass for congestion.
+    #[must_use]
+    pub fn took(&self, asked: Instant) -> Duration {
+        self.sent.get().unwrap_or(asked).elapsed()
+    }
+
     fn written(&self) -> u64 {
         self.traffic.borrow().as_ref().map_or(0, |traffic| traffic.written.get())
     }
@@ -347,7 +356,7 @@
         Ok(()) = withdrawn => Some((Outcome::Withdrawn.into(), None)),
     };
     let Some((ended, connection)) = ended else { return };
-    driver.attempt_ended(&job, ended);
+    driver.attempt_ended(&job, progress.took(job.asked), ended);
     // The answer goes out first; then the connection is made ready for the next request.
     if let Some(mut connection) = connection
         && let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await
@@ -377,6 +386,7 @@
             return (Outcome::ConnectFailed.into(), None);
         }
         let request = job.call.request(job.until.saturating_duration_since(Instant::now()));
+        progress.sent.set(Some(Instant::now()));
         progress.size.set(size_on_wire(&request, job.call.body.len()));
         connection.traffic.begin_request();
         progress.traffic.replace(Some(Rc::clone(&connection.traffic)));
--- a/dahliahead/src/upstream/tests.rs
+++ b/dahliahead/src/upstream/tests.rs
@@ -1,6 +1,8 @@
 //! What goes out on a connection, counted to the byte.
 
 use super::*;
+use crate::config::Config;
+use crate::config::tests::CONFIGURATION;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
 
 fn call(method: Method, body: &'static [u8]) -> Call {
@@ -109,3 +111,57 @@
     traffic.written.set(200);
     assert!(progress.whole());
 }
+
+/// Found on zone+brink: connections that came up late passed for congestion and cut the limits. The time of an
+/// attempt counts from when its connection was up; of one that never was, from when it was asked for.
+#[test]
+fn the_time_of_an_attempt_leaves_out_its_connection() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        // Its queue is full, so that the connection is asked for once more after a second.
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("free");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+        socket.listen(0).expect("bound");
+        let listener = std::net::TcpListener::from(socket);
+        let address = listener.local_addr().expect("bound");
+        let filling: Vec<_> = (0..2)
+            .map(|_| std::net::TcpStream::connect_timeout(&address, Duration::from_millis(300)))
+            .collect();
+        let text = CONFIGURATION.replace(r#""tryLimit": 3"#, r#""tryLimit": 3, "dialTimeoutS": 30"#);
+        let driver = Driver::start(Config::parse(&text, |_| None).expect("sound")).expect("starts");
+        let listed = format!(
+            r#"{{"snapshot": true, "endpoints": [
+            {{"name": "s-1", "address": "{address}", "status": "ready"}}]}}"#
+        );
+        driver.learn(0, serde_json::from_str(&listed).expect("a list"));
+        let asked = Instant::now();
+        let job = Job {
+            request: RequestId(1),
+            attempt: AttemptNumber(0),
+            upstream: driver.number_of("s-1"),
+            address,
+            call: Rc::new(call(Method::GET, b"")),
+            asked,
+            until: asked + Duration::from_secs(30),
+        };
+        let progress = Progress::default();
+        let mut exchange = std::pin::pin!(exchange(&driver, &job, &progress));
+        let up = timeout(Duration::from_millis(100), exchange.as_mut()).await;
+        assert!(up.is_err() && progress.took(asked) >= Duration::from_millis(100));
+        let upstream = std::thread::spawn(move || {
+            drop(filling);
+            for mut stream in listener.incoming().flatten() {
+                use std::io::{Read, Write};
+                if stream.read(&mut [0; 1024]).is_ok_and(|bytes| bytes > 0) {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    return;
+                }
+            }
+        });
+        let (ended, _connection) = exchange.await;
+        let (whole, took) = (asked.elapsed(), progress.took(asked));
+        upstream.join().expect("no panic");
+        assert_eq!(ended.outcome, Outcome::Good);
+        assert!(took < whole / 2, "{took:?} of {whole:?}");
+    });
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1052,7 +1052,8 @@
         entry.out -= 1;
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
         let (class, tenant, given) = (entry.class, entry.tenant, attempt.given);
-        let late = now - entry.arrived > self.settings.classes[class.0].aim.as_secs_f64();
+        // By its own time: what was lost before it, on connections or elsewhere, tells nothing of congestion here.
+        let late = took > self.settings.classes[class.0].aim.as_secs_f64();
         let (closed, idle) = (entry.closed || finished, entry.out == 0);
         // Given less time than such calls take, it tells of its caller's haste: counted like others, the calls of
         // one tenant in haste would pass for a crowd and have all tenants denied.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -424,7 +424,7 @@
         attempt: AttemptNumber,
         /// How it ended.
         outcome: Outcome,
-        /// How long it took.
+        /// How long it took; over sockets from when its connection was up, if it was.
         took: Duration,
         /// The request has ended with it, or before.
         finished: bool,
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -152,6 +152,34 @@
     assert_eq!(denied_of_280(1, Outcome::ConnectFailed, 20), 0);
 }
 
+/// Found on zone+brink: calls that were late because a connection had not come up, and were then served at once
+/// elsewhere, passed for congestion and cut the limits.
+#[test]
+fn calls_late_by_a_failed_connect_do_not_cut_the_limit() {
+    let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+    settings.tenants = vec![Tenant { quota: Some(25.0 / 3.0) }];
+    settings.classes[0].late_worth = 0.5;
+    let mut bench = Bench::new(settings, 5, (0..6).map(member).collect());
+    admitted(&mut bench, 9.0, 0.0, 60.0, Outcome::Good);
+    let mut connecting = std::collections::VecDeque::new();
+    for call in 0..280 {
+        bench.pass(millis(71));
+        while let Some((id, _)) = connecting.front().copied().filter(|&(_, due)| due <= bench.now) {
+            connecting.pop_front();
+            let actions = bench.end(id, 0, Outcome::ConnectFailed, millis(1100));
+            assert!(sent(&actions).is_some(), "not sent elsewhere");
+            bench.end(id, 1, Outcome::Good, millis(20));
+        }
+        let (id, actions) = bench.offer(Some(0));
+        assert!(sent(&actions).is_some(), "call {call} denied");
+        if call % 4 == 0 {
+            connecting.push_back((id, bench.now + millis(1100)));
+        } else {
+            bench.end(id, 0, Outcome::Good, millis(20));
+        }
+    }
+}
+
 /// Servers that refused two attempts in five told the limits nothing, since the calls went elsewhere.
 #[test]
 fn refusals_by_two_servers_in_a_row_cut_the_limit() {
