Take an upstream for out of reach only if nothing was heard between two failed connects

Ruled out: lost machines, none of which answers. At fault: set_aside(.., outcome == ConnectFailed) in learn_outcome, which waives the comparison with the tier.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -80,6 +80,9 @@
 const TIER_WEIGHT: f64 = 0.02;
 /// An upstream whose failure share is over this and over the tier's by the multiple is set aside.
 const FAIL_OVER: (f64, f64) = (0.3, 2.0);
+/// Failed connects in a row, with nothing heard between, from which an upstream is out of reach: one that answers on
+/// other connections is not, however many come up late.
+const MISSED: u32 = 2;
 /// Largest part of a group of upstreams set aside at a time: the rest must carry the load.
 const ASIDE_MOST: f64 = 0.34;
 /// Seconds set aside at first, and at most; doubled when a return fails.
@@ -392,6 +395,8 @@
     /// Latest answer, or the send that ended an idle time.
     heard: f64,
     failures: f64,
+    /// Failed connects since anything was last heard of it.
+    missed: u32,
     /// Latency over the usual of its classes, and the latencies learned from.
     slowness: f64,
     measured: f64,
@@ -416,6 +421,7 @@
             used: now,
             heard: now,
             failures: 0.0,
+            missed: 0,
             slowness: 1.0,
             measured: 0.0,
             aside_until: 0.0,
@@ -1116,9 +1122,12 @@
         }
         // Who turns calls away has none in flight: uncounted, it would draw ever more of them.
         let failed = outcome != Outcome::Good;
-        if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed) {
-            upstream.heard = now;
+        match outcome {
+            Outcome::ConnectFailed => upstream.missed += 1,
+            Outcome::TimedOut => {}
+            _ => (upstream.heard, upstream.missed) = (now, 0),
         }
+        let out_of_reach = upstream.missed >= MISSED;
         upstream.failures += FAIL_WEIGHT * (f64::from(u8::from(failed)) - upstream.failures);
         // A failed connect is that upstream's own, as is a refusal: behind a broken link, counting it for the tier
         // would make many lost upstreams look like crowding below, and none would be set aside.
@@ -1145,7 +1154,7 @@
                 upstream.aside_s = ASIDE_S.0;
             }
         } else if failed {
-            self.set_aside(now, slot, outcome == Outcome::ConnectFailed);
+            self.set_aside(now, slot, out_of_reach);
         }
         let crowded = !matches!(outcome, Outcome::Good | Outcome::Error);
         let group = if home { &mut self.subset.home } else { &mut self.subset.away };
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -180,6 +180,26 @@
     }
 }
 
+/// Found on zone+brink: a third of the connects failed, here and there, and upstreams that answered all the while on
+/// other connections were taken for lost, most of them at a time; the limits shrank with the tier.
+#[test]
+fn connects_that_fail_now_and_then_do_not_shrink_the_limits() {
+    let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+    settings.tenants = vec![Tenant { quota: Some(25.0 / 3.0) }];
+    settings.over_share_worth = 0.0;
+    let mut bench = Bench::new(settings, 5, (0..6).map(member).collect());
+    let sends = std::cell::RefCell::new([0; 6]);
+    for call in 0..400 {
+        bench.pass(millis(130));
+        let tried = bench.run(|upstream| {
+            let sends = &mut sends.borrow_mut()[upstream.0 as usize];
+            *sends += 1;
+            (if *sends % 3 == 0 { Outcome::ConnectFailed } else { Outcome::Good }, millis(10))
+        });
+        assert!(!tried.is_empty(), "call {call} denied");
+    }
+}
+
 /// Servers that refused two attempts in five told the limits nothing, since the calls went elsewhere.
 #[test]
 fn refusals_by_two_servers_in_a_row_cut_the_limit() {
