--- a/src/decide.rs
+++ b/src/decide.rs
@@ -121,7 +121,8 @@
 /// Crowding of a call that failed or came late; of others it is how often the typical latency doubled, more
 /// or less (a natural logarithm), so that a few heavy calls count little and a general delay much.
 const CROWDED_MOST: f64 = 2.0;
-/// Tier failure share from which an error counts as crowding below and not as a bad upstream.
+/// Tier failure share from which an error counts as crowding below and not as a bad upstream, where calls that are
+/// served are slowed as well: faults fail calls too, and holding back calls mends none.
 const CROWDED_ERRORS: f64 = 0.1;
 /// Seconds that an attempt must have left to be worth sending.
 const LEAST_S: f64 = 0.001;
@@ -574,8 +575,9 @@
     slots: FxHashMap<UpstreamId, usize>,
     free: Vec<usize>,
     ready: Vec<usize>,
-    /// Share of the calls that met crowding lately, and the time of the next drop for it.
+    /// Share of the calls that met crowding lately, the same of those served, and the time of the next drop for it.
     crowding: f64,
+    slowed: f64,
     drop_after: f64,
     tier_failures: f64,
     tier_slowness: f64,
@@ -620,6 +622,7 @@
             free: Vec::new(),
             ready: Vec::new(),
             crowding: 0.0,
+            slowed: 0.0,
             drop_after: 0.0,
             tier_failures: 0.0,
             tier_slowness: 1.0,
@@ -1166,7 +1169,7 @@
     fn meet(&mut self, now: f64, class: ClassId, tenant: usize, outcome: Outcome, took: f64, late: bool) {
         let bad = match outcome {
             Outcome::Refused | Outcome::TimedOut | Outcome::ConnectFailed => true,
-            Outcome::Error => self.tier_failures > CROWDED_ERRORS,
+            Outcome::Error => self.tier_failures > CROWDED_ERRORS && self.slowed > CROWDED,
             Outcome::Good => late,
             _ => return,
         };
@@ -1181,9 +1184,11 @@
         // The tenants meet the same tier: a small one's own calls are too few to tell of a jam in time.
         let all = self.settings.tenants.len();
         let rate = self.suppressors[all].accepted_rate(now);
-        self.crowding += (1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT) * (sample - self.crowding);
+        let weight = (1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT);
+        self.crowding += weight * (sample - self.crowding);
         let crowded = self.crowding > CROWDED;
         if outcome == Outcome::Good {
+            self.slowed += weight * (sample - self.slowed);
             self.latencies[class.0].learn(took.max(1e-4), 1.0 / (rate * TYPICAL_S), crowded);
         }
         if crowded && now >= self.drop_after {
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -200,6 +200,38 @@
     }
 }
 
+/// Calls denied in 60 s at 9 a second, beside calls that took 20 ms before and now take `took`; every `errors`-th of
+/// them, if not 0, ends in an error.
+fn denied_beside_errors(errors: u32, took: u64) -> u32 {
+    let mut settings = Settings::single_zone(vec![class(Effect::Unsafe)]);
+    settings.tenants = vec![Tenant { quota: Some(25.0 / 3.0) }];
+    settings.over_share_worth = 0.0;
+    let mut bench = Bench::new(settings, 5, (0..6).map(member).collect());
+    admitted(&mut bench, 9.0, 0.0, 60.0, Outcome::Good);
+    let mut denied = 0;
+    for call in 0..540 {
+        bench.pass(millis(111));
+        let (id, actions) = bench.offer(Some(0));
+        if sent(&actions).is_none() {
+            denied += 1;
+        } else if errors > 0 && call % errors == 0 {
+            bench.end(id, 0, Outcome::Error, millis(20));
+        } else {
+            bench.end(id, 0, Outcome::Good, millis(took));
+        }
+    }
+    denied
+}
+
+/// Found on zone+brink: a fifth of the calls failed below for faults, beside servers with next to nothing in flight
+/// that served the others as fast as ever, and the limits were cut to their floors. In an overload errors count.
+#[test]
+fn errors_beside_calls_served_as_usual_do_not_cut_the_limit() {
+    assert_eq!(denied_beside_errors(5, 20), 0);
+    let slowed = denied_beside_errors(0, 28);
+    assert!(denied_beside_errors(5, 28) > slowed + 20, "{slowed}");
+}
+
 /// Servers that refused two attempts in five told the limits nothing, since the calls went elsewhere.
 #[test]
 fn refusals_by_two_servers_in_a_row_cut_the_limit() {
