Hand an attempt's end to the decisions as one value, and keep its upstream's member whole

The event's six fields were unpacked in one place to be handed on one by one; they are a struct now. An attempt keeps the member that it went to in place of three of its fields.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use peathatch::interface::{
-    AttemptNumber, Class, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase, Request,
-    RequestId, SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    AttemptEnded, AttemptNumber, Class, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase,
+    Request, RequestId, SettingsError, TenantId, Time, UpstreamId, ZoneId,
 };
 use peathatch::{Action, Balancer, Event};
 use peathatch_wirehost::setup::Names;
@@ -407,14 +407,14 @@
             core.release(job.request);
             finished
         };
-        self.handle(Event::AttemptEnded {
+        self.handle(Event::AttemptEnded(AttemptEnded {
             request: job.request,
             attempt: job.attempt,
             outcome: ended.outcome,
             took,
             finished,
             load: ended.load,
-        });
+        }));
     }
 
     // --- Discovery ---
@@ -611,14 +611,14 @@
         let Some(listed) = listed else {
             held.attempts.push(None);
             let finished = held.answer.is_none();
-            return core.events.push_back(Event::AttemptEnded {
+            return core.events.push_back(Event::AttemptEnded(AttemptEnded {
                 request,
                 attempt,
                 outcome: Outcome::NotSent,
                 took: Duration::ZERO,
                 finished,
                 load: None,
-            });
+            }));
         };
         let asked = Instant::now();
         let until = timeout.map_or(held.deadline, |span| held.deadline.min(asked + span));
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -53,14 +53,14 @@
         carry_out(now, &mut actions);
         if sent {
             // The upstream answers at once; the answer ends the request.
-            let ended = Event::AttemptEnded {
+            let ended = Event::AttemptEnded(AttemptEnded {
                 request: id,
                 attempt: AttemptNumber(0),
                 outcome: Outcome::Good,
                 took: Duration::from_millis(20),
                 finished: true,
                 load: None,
-            };
+            });
             balancer.handle(now + Duration::from_millis(20), ended, &mut actions);
         }
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,8 +17,9 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::{
-    Action, Allowed, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event, ListUpdate, Member,
-    Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    Action, Allowed, AttemptEnded, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event,
+    ListUpdate, Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time,
+    UpstreamId,
 };
 
 // --- Constants: unit and reason. Figures of a site come with the settings, never from here. ---
@@ -481,9 +482,7 @@
 #[derive(Debug)]
 struct Attempt {
     slot: usize,
-    upstream: UpstreamId,
-    cell: u32,
-    zone: Option<ZoneId>,
+    member: Member,
     sent: f64,
     /// Seconds that it was given.
     given: f64,
@@ -656,10 +655,7 @@
                     entry.withdraw(request, Some(attempt), actions);
                 }
             }
-            Event::AttemptEnded { request, attempt, outcome, took, finished, .. } => {
-                let took = took.as_secs_f64();
-                self.attempt_ended(now, request, attempt, outcome, took, finished, actions);
-            }
+            Event::AttemptEnded(ended) => self.attempt_ended(now, ended, actions),
             Event::ClientLeft(request) => self.close(request, actions),
             Event::Wake => self.sweep(now, actions),
             Event::Probed { .. } | Event::Message { .. } => {}
@@ -898,8 +894,7 @@
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
-            if !upstream.usable()
-                || upstream.aside_until > now
+            if upstream.aside_until > now
                 || upstream.stalled(now, usual)
                 || self.ledger.tried(id, upstream.member.id)
             {
@@ -923,10 +918,7 @@
 
     /// A member that may be sent to at all, the least busy, when draws found none.
     fn any_left(&mut self, now: f64, id: RequestId, from: &[usize]) -> Option<usize> {
-        let open = |&slot: &usize| {
-            let upstream = &self.upstreams[slot];
-            upstream.usable() && !self.ledger.tried(id, upstream.member.id)
-        };
+        let open = |&slot: &usize| !self.ledger.tried(id, self.upstreams[slot].member.id);
         let mut left: Vec<usize> = from.iter().copied().filter(open).collect();
         left.sort_by_key(|&slot| self.upstreams[slot].in_flight);
         left.into_iter().find(|&slot| self.cold_allows(now, slot))
@@ -994,9 +986,7 @@
         let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
         entry.attempts.push(Attempt {
             slot,
-            upstream: member.id,
-            cell: member.cell,
-            zone: member.zone,
+            member,
             sent: now,
             given: timeout,
             state: AttemptState::Out,
@@ -1040,17 +1030,9 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
-    fn attempt_ended(
-        &mut self,
-        now: f64,
-        id: RequestId,
-        number: AttemptNumber,
-        outcome: Outcome,
-        took: f64,
-        finished: bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn attempt_ended(&mut self, now: f64, ended: AttemptEnded, actions: &mut Vec<Action>) {
+        let AttemptEnded { request: id, attempt: number, outcome, finished, .. } = ended;
+        let took = ended.took.as_secs_f64();
         let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
         let Some(attempt) = entry.attempts.get_mut(number.0 as usize) else { return };
         if attempt.state != AttemptState::Out {
@@ -1260,7 +1242,7 @@
     fn tried(&self, id: RequestId, upstream: UpstreamId) -> bool {
         self.entries
             .get(&id)
-            .is_some_and(|entry| entry.attempts.iter().any(|tried| tried.upstream == upstream))
+            .is_some_and(|entry| entry.attempts.iter().any(|tried| tried.member.id == upstream))
     }
 
     fn budget(&mut self, outcome: Outcome) -> &mut f64 {
@@ -1278,8 +1260,8 @@
             now - first.sent <= window.as_secs_f64()
                 && match scope {
                     DedupScope::All => true,
-                    DedupScope::Zone => first.zone.is_some() && member.zone == first.zone,
-                    DedupScope::Cell => member.cell == first.cell,
+                    DedupScope::Zone => first.member.zone.is_some() && member.zone == first.member.zone,
+                    DedupScope::Cell => member.cell == first.member.cell,
                 }
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -398,6 +398,23 @@
     pub repeat: bool,
 }
 
+/// The end of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AttemptEnded {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it took; over sockets from when its connection was up, if it was.
+    pub took: Duration,
+    /// The request has ended with it, or before.
+    pub finished: bool,
+    /// The upstream's load report, if one came.
+    pub load: Option<LoadReport>,
+}
+
 /// What happens to a copy.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -417,20 +434,7 @@
         attempt: AttemptNumber,
     },
     /// An attempt is over.
-    AttemptEnded {
-        /// The request.
-        request: RequestId,
-        /// The attempt.
-        attempt: AttemptNumber,
-        /// How it ended.
-        outcome: Outcome,
-        /// How long it took; over sockets from when its connection was up, if it was.
-        took: Duration,
-        /// The request has ended with it, or before.
-        finished: bool,
-        /// The upstream's load report, if one came.
-        load: Option<LoadReport>,
-    },
+    AttemptEnded(AttemptEnded),
     /// The client has left, or the final answer is overdue: nothing more is owed.
     ClientLeft(RequestId),
     /// The sweep asked for by [`Action::WakeAfter`] is due.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,14 +44,14 @@
 //! assert!(matches!(actions[0], Action::Send { upstream: UpstreamId(42), .. }));
 //!
 //! // The answer finishes it.
-//! let answer = Event::AttemptEnded {
+//! let answer = Event::AttemptEnded(AttemptEnded {
 //!     request: RequestId(1),
 //!     attempt: AttemptNumber(0),
 //!     outcome: Outcome::Good,
 //!     took: Duration::from_millis(80),
 //!     finished: true,
 //!     load: None,
-//! };
+//! });
 //! balancer.handle(second + Duration::from_millis(80), answer, &mut actions);
 //! # Ok::<(), SettingsError>(())
 //! ```
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,14 +89,14 @@
     }
 
     pub fn end(&mut self, request: RequestId, number: u32, outcome: Outcome, took: Duration) -> Vec<Action> {
-        self.tell(Event::AttemptEnded {
+        self.tell(Event::AttemptEnded(AttemptEnded {
             request,
             attempt: AttemptNumber(number),
             outcome,
             took,
             finished: outcome == Outcome::Good,
             load: None,
-        })
+        }))
     }
 
     /// Offers a request and lets each attempt end with what `outcome` says of its upstream, after
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -248,7 +248,14 @@
         held.over |= outcome == Outcome::Good;
         let finished = held.over || held.finals > 0;
         let attempt = AttemptNumber(n as u32);
-        self.tell(Event::AttemptEnded { request, attempt, outcome, took, finished, load: None });
+        self.tell(Event::AttemptEnded(AttemptEnded {
+            request,
+            attempt,
+            outcome,
+            took,
+            finished,
+            load: None,
+        }));
         let held = &self.held[&request];
         let out = held.attempts.iter().any(|sent| sent.ended.is_none());
         assert!(held.over || held.finals == 1 || out, "left without an attempt or an answer");
@@ -459,14 +466,14 @@
     actions.clear();
     for id in [7, 8] {
         balancer.handle(START, Event::ClientLeft(RequestId(id)), &mut actions);
-        let ended = Event::AttemptEnded {
+        let ended = Event::AttemptEnded(AttemptEnded {
             request: RequestId(id),
             attempt: AttemptNumber(5),
             outcome: Outcome::Good,
             took: millis(0),
             finished: true,
             load: None,
-        };
+        });
         balancer.handle(START, ended, &mut actions);
         let started = Event::StreamStarted { request: RequestId(id), attempt: AttemptNumber(9) };
         balancer.handle(START, started, &mut actions);
@@ -494,14 +501,14 @@
     };
     let sent = |actions: &[Action]| actions.iter().any(|action| matches!(action, Action::Send { .. }));
     assert!(sent(&bench.tell(Event::Request(request))));
-    let actions = bench.tell(Event::AttemptEnded {
+    let actions = bench.tell(Event::AttemptEnded(AttemptEnded {
         request: RequestId(1),
         attempt: AttemptNumber(0),
         outcome: Outcome::Reset,
         took: millis(1),
         finished: false,
         load: None,
-    });
+    }));
     assert!(!sent(&actions) && actions.contains(&Action::Fail { request: RequestId(1) }), "{actions:?}");
 }
 
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use peathatch::interface::{
-    AttemptNumber, ClassId, KindId, ListUpdate, LoadReport, Member, Request, RequestId, TenantId, UpstreamId,
-    ZoneId,
+    AttemptEnded, AttemptNumber, ClassId, KindId, ListUpdate, LoadReport, Member, Request, RequestId,
+    TenantId, UpstreamId, ZoneId,
 };
 use peathatch::{Action, Balancer, Event};
 use rustc_hash::FxHashMap;
@@ -251,7 +251,7 @@
         fields.end()?;
         if let Some(event) = event {
             let ends = match event {
-                Event::ClientLeft(id) | Event::AttemptEnded { request: id, .. } => Some(id),
+                Event::ClientLeft(id) | Event::AttemptEnded(AttemptEnded { request: id, .. }) => Some(id),
                 _ => None,
             };
             instance.balancer.handle(self.now, event, &mut self.actions);
@@ -408,7 +408,7 @@
         ticket.out = ticket.out.saturating_sub(1);
         ticket.ended |= finished;
     }
-    Ok(Some(Event::AttemptEnded { request, attempt, outcome, took, finished, load }))
+    Ok(Some(Event::AttemptEnded(AttemptEnded { request, attempt, outcome, took, finished, load })))
 }
 
 fn load(names: &Names, fields: &mut Fields) -> Result<Option<LoadReport>, Malformed> {
