--- a/src/decide.rs
+++ b/src/decide.rs
@@ -646,7 +646,7 @@
                 self.discovery = Discovery::default();
                 self.subscribe(now, actions);
             }
-            Event::List(update) => self.learn_list(now, update),
+            Event::List(update) => self.learn_list(now, update, actions),
             Event::Request(request) => self.take(now, request, actions),
             Event::StreamStarted { request, attempt } => {
                 let Some(entry) = self.ledger.entries.get_mut(&request) else { return };
@@ -675,7 +675,7 @@
         self.settings.rules.ask_within.map_or(10.0, |span| span.as_secs_f64()) * ASK_PART
     }
 
-    fn learn_list(&mut self, now: f64, update: ListUpdate) {
+    fn learn_list(&mut self, now: f64, update: ListUpdate, actions: &mut Vec<Action>) {
         if matches!(update, ListUpdate::Whole(_) | ListUpdate::StaleCopy(_)) {
             self.upstreams.iter_mut().for_each(|upstream| upstream.listed = false);
         }
@@ -684,11 +684,16 @@
         }
         match update {
             ListUpdate::Broken => {
-                // Copies whose calls fail together must not come back together; what is pushed counts meanwhile.
+                // Copies whose calls fail together must not come back together; what is pushed counts meanwhile, so
+                // that a watch which stood is opened anew at once, and one that failed before at the next sweep.
+                let at_once = self.discovery.subscribed && self.settings.rules.ask_within.is_none();
                 let most = self.ask_within().max(RESUBSCRIBE_S);
                 let backoff_s = (self.discovery.backoff_s * 2.0).clamp(RESUBSCRIBE_S, most);
                 let part = self.settings.rules.ask_within.map_or(0.0, |_| between(&mut self.rng, (0.5, 1.0)));
                 self.discovery = Discovery { subscribed: false, ask_at: now + backoff_s * part, backoff_s };
+                if at_once {
+                    self.subscribe(now, actions);
+                }
             }
             ListUpdate::Whole(members) | ListUpdate::StaleCopy(members) | ListUpdate::Patch(members) => {
                 for member in members {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -523,12 +523,30 @@
         bench.pass(millis(1000));
         let mut asked = 0;
         for _ in 0..6 {
-            bench.tell(Event::List(ListUpdate::Broken));
+            let mut actions = bench.tell(Event::List(ListUpdate::Broken));
             // A sweep comes five times a second.
             bench.now += millis(200);
-            let actions = bench.tell(Event::Wake);
+            actions.extend(bench.tell(Event::Wake));
             asked += actions.iter().filter(|action| **action == Action::Subscribe).count();
         }
         assert_eq!(asked == 6, at_once, "asked {asked} times where asking is due within {ask_within:?}");
     }
 }
+
+/// The grace may be shorter than a sweep: a watch on pushed lists that stood and breaks is asked for anew at once, one
+/// that breaks again before its first word at the next sweep.
+#[test]
+fn a_broken_subscription_to_pushed_lists_is_opened_at_once() {
+    let mut settings = settings(false, true);
+    settings.rules.ask_within = None;
+    let mut bench = common::Bench::new(settings, 3, vec![common::member(0)]);
+    let asks = |actions: Vec<Action>| actions.contains(&Action::Subscribe);
+    for _ in 0..3 {
+        bench.tell(Event::List(ListUpdate::Patch(Vec::new())));
+        bench.pass(millis(1000));
+        assert!(asks(bench.tell(Event::List(ListUpdate::Broken))));
+        assert!(!asks(bench.tell(Event::List(ListUpdate::Broken))));
+        bench.now += millis(200);
+        assert!(asks(bench.tell(Event::Wake)));
+    }
+}
