End attempts that wait for a connection when their upstream drains, goes or is set aside

Checked: with a dial timeout of 60 s the test's caller is not answered within 30 s without this; with it at once. At fault: exchange() in upstream.rs, which looks only when the connection is up, and the module, which said nothing of it. The module's new action ends what has written no byte as a failed connect; what has is left alone.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -99,8 +99,9 @@
 
 /// An attempt that is out.
 struct Out {
-    /// Calls it off.
-    withdraw: oneshot::Sender<()>,
+    upstream: UpstreamId,
+    /// Ends it, with this outcome.
+    end: oneshot::Sender<Outcome>,
     progress: Rc<Progress>,
 }
 
@@ -380,7 +381,7 @@
             // its last byte it never runs, so that this needs no leave to cancel.
             for attempt in &mut held.attempts {
                 if let Some(out) = attempt.take_if(|out| !out.progress.whole()) {
-                    let _ = out.withdraw.send(());
+                    let _ = out.end.send(Outcome::Withdrawn);
                 }
             }
             core.release(id);
@@ -563,7 +564,7 @@
                     held.and_then(|held| held.attempts.get_mut(attempt.0 as usize)).and_then(Option::take)
                 {
                     // It may have ended this moment, which it then says itself.
-                    let _ = out.withdraw.send(());
+                    let _ = out.end.send(Outcome::Withdrawn);
                 }
             }
             Action::Refuse { request, retry_after } => core.answer(request, Answer::Refused { retry_after }),
@@ -577,6 +578,14 @@
                     discovery::watch(Rc::clone(self), self.discovery.get(), core.index, core.watch_number);
                 core.watch = Some(spawn_local(watch).abort_handle());
             }
+            Action::AbortConnects { upstream } => {
+                // Until its first byte is written it waits for a connection, and can't have run.
+                let connecting = |out: &mut Out| out.upstream == upstream && !out.progress.begun();
+                let attempts = core.requests.values_mut().flat_map(|held| &mut held.attempts);
+                for out in attempts.filter_map(|attempt| attempt.take_if(connecting)) {
+                    let _ = out.end.send(Outcome::ConnectFailed);
+                }
+            }
             // Health checks are not made here: where a site allowed them, they would end unsent.
             Action::Probe { upstream } => core.events.push_back(Event::Probed {
                 upstream,
@@ -622,13 +631,13 @@
         };
         let asked = Instant::now();
         let until = timeout.map_or(held.deadline, |span| held.deadline.min(asked + span));
-        let (withdraw, withdrawn) = oneshot::channel();
+        let (end, ended) = oneshot::channel();
         let progress = Rc::new(Progress::default());
-        held.attempts.push(Some(Out { withdraw, progress: Rc::clone(&progress) }));
+        held.attempts.push(Some(Out { upstream, end, progress: Rc::clone(&progress) }));
         held.out += 1;
         let (address, call) = (listed.address, Rc::clone(&held.call));
         let job = Job { request, attempt, upstream, address, call, asked, until };
-        spawn_local(upstream::attempt(Rc::clone(self), job, progress, withdrawn));
+        spawn_local(upstream::attempt(Rc::clone(self), job, progress, ended));
     }
 }
 
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -325,7 +325,9 @@
         self.written() >= self.size.get()
     }
 
-    fn begun(&self) -> bool {
+    /// Whether its first byte is written.
+    #[must_use]
+    pub fn begun(&self) -> bool {
         self.written() > 0
     }
 
@@ -341,8 +343,8 @@
     }
 }
 
-/// Makes an attempt and tells the driver how it ended.
-pub async fn attempt(driver: Rc<Driver>, job: Job, progress: Rc<Progress>, withdrawn: oneshot::Receiver<()>) {
+/// Makes an attempt and tells the driver how it ended; `end` ends it from outside.
+pub async fn attempt(driver: Rc<Driver>, job: Job, progress: Rc<Progress>, end: oneshot::Receiver<Outcome>) {
     let exchange = exchange(&driver, &job, &progress);
     let ended = tokio::select! {
         biased;
@@ -353,7 +355,7 @@
             // Closed before its last byte was written, it can't run any more.
             Err(_) => Some((Outcome::ConnectFailed.into(), None)),
         },
-        Ok(()) = withdrawn => Some((Outcome::Withdrawn.into(), None)),
+        Ok(outcome) = end => Some((outcome.into(), None)),
     };
     let Some((ended, connection)) = ended else { return };
     driver.attempt_ended(&job, progress.took(job.asked), ended);
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -387,7 +387,12 @@
     let (listener, filling) = full_listener();
     let draining = listener.local_addr().expect("bound");
     let other = Upstream::start(|_, _| ok("other"));
-    let (balancer, discovery) = Balancer::with(&[endpoint("s-1", draining, 0, "ready")], 30.0);
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", draining, 0, "ready")];
+    let text = configuration(discovery.address, &known, 50.0, 1024);
+    let patient = text.replace(r#""dialTimeoutS":5.0"#, r#""dialTimeoutS":60.0"#);
+    assert_ne!(text, patient);
+    let balancer = Balancer::start(&patient);
     let (_, watch) = discovery.watch();
     let mut caller = balancer.caller();
     caller.send("order", "one");
@@ -397,7 +402,9 @@
         false,
         &[endpoint("s-1", draining, 0, "draining"), endpoint("s-2", other.address, 1, "ready")],
     );
-    // A request that comes later goes to the other: the drain is heard.
+    // The attempt is ended with the drain; it waits neither for the connection nor for its time, which is longer than
+    // the caller of this test waits.
+    assert_eq!(caller.answer().expect("an answer").body, b"other");
     assert_eq!(
         wait_for("the drain", || Some(balancer.caller().ask("read", ""))
             .filter(|answer| answer.status() == 200))
@@ -406,6 +413,6 @@
     );
     drop(filling);
     let drained = Upstream::on(listener, |_, _| ok("drained"));
-    assert_eq!(caller.answer().expect("an answer").body, b"other");
+    assert_eq!(caller.ask("read", "").body, b"other");
     assert!(drained.requests().is_empty());
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -699,7 +699,7 @@
                 for member in members {
                     self.learn_member(now, member);
                 }
-                self.rebuild();
+                self.rebuild(actions);
             }
         }
     }
@@ -726,7 +726,7 @@
     }
 
     /// Lays out the subset anew; only a list event calls it.
-    fn rebuild(&mut self) {
+    fn rebuild(&mut self, actions: &mut Vec<Action>) {
         let mut order: Vec<(UpstreamId, usize)> = self.slots.iter().map(|(&id, &slot)| (id, slot)).collect();
         order.sort_unstable();
         self.ready.clear();
@@ -737,6 +737,9 @@
             upstream.kind =
                 upstream.member.kind.map_or(self.settings.kinds, |kind| kind.0.min(self.settings.kinds));
             if !upstream.usable() {
+                if upstream.in_flight > 0 {
+                    actions.push(Action::AbortConnects { upstream: id });
+                }
                 if !upstream.listed && upstream.in_flight == 0 {
                     self.slots.remove(&id);
                     self.free.push(slot);
@@ -1056,6 +1059,11 @@
         let hasty = matches!(outcome, Outcome::Error | Outcome::TimedOut)
             && given < self.latencies[class.0].seconds();
         self.learn_outcome(now, slot, class, outcome, took, hasty);
+        let Upstream { member: Member { id: upstream, .. }, aside_until, in_flight, .. } =
+            self.upstreams[slot];
+        if aside_until > now && in_flight > 0 {
+            actions.push(Action::AbortConnects { upstream });
+        }
         if closed {
             self.close(id, actions);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -497,6 +497,11 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// End the attempts whose connection to an upstream is still coming up, as [`Outcome::ConnectFailed`].
+    AbortConnects {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// Close the idle connections to an upstream.
     DropIdle {
         /// The upstream.
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -246,6 +246,34 @@
     assert!(lost < 75, "{lost} of 500 calls went to upstreams out of reach first");
 }
 
+/// Guards attempts that wait for a connection to an upstream told draining or gone, by name or by its absence, or found
+/// out of reach: they are ended then, and not when the connection is up or its time over.
+#[test]
+fn connects_to_upstreams_not_to_be_sent_to_are_aborted() {
+    let aborts =
+        |actions: &[Action], id| actions.contains(&Action::AbortConnects { upstream: UpstreamId(id) });
+    let with = |phase| Member { phase, ..member(0) };
+    for list in [
+        ListUpdate::Patch(vec![with(Phase::Draining)]),
+        ListUpdate::Patch(vec![with(Phase::Gone)]),
+        ListUpdate::Whole(vec![member(1)]),
+    ] {
+        let mut bench = Bench::new(settings(), 3, vec![member(0)]);
+        let (id, actions) = bench.offer(None);
+        assert_eq!(sent(&actions), Some(UpstreamId(0)));
+        assert!(!aborts(&bench.tell(Event::List(ListUpdate::Patch(vec![member(1)]))), 0));
+        assert!(aborts(&bench.tell(Event::List(list)), 0));
+        // What was aborted goes elsewhere.
+        assert_eq!(sent(&bench.end(id, 0, Outcome::ConnectFailed, millis(1))), Some(UpstreamId(1)));
+        assert!(!aborts(&bench.tell(Event::List(ListUpdate::Patch(vec![member(2)]))), 0));
+    }
+    let mut bench = Bench::new(settings(), 3, vec![member(0)]);
+    let ids: Vec<_> = (0..3).map(|_| bench.offer(None).0).collect();
+    bench.tell(Event::List(ListUpdate::Patch(vec![member(1)])));
+    assert!(!aborts(&bench.end(ids[0], 0, Outcome::ConnectFailed, millis(20)), 0));
+    assert!(aborts(&bench.end(ids[1], 0, Outcome::ConnectFailed, millis(20)), 0));
+}
+
 /// Found on the quiet days of two deployments: copies that see a few calls a second spread them over all
 /// members and paid a handshake for most.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -198,6 +198,11 @@
                 assert!(self.settings.allowed.probes, "a health check that is not allowed");
                 assert!(self.list.contains_key(&upstream), "checked one that no list has named");
             }
+            Action::AbortConnects { upstream } => {
+                assert!(self.held.values().any(|held| {
+                    held.attempts.iter().any(|sent| sent.upstream == upstream && sent.ended.is_none())
+                }));
+            }
             Action::DropIdle { upstream } => assert!(self.list.contains_key(&upstream)),
             Action::Log(_) => {}
         }
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -431,6 +431,7 @@
         | Action::Fail { request } => Some(request),
         Action::Subscribe
         | Action::Probe { .. }
+        | Action::AbortConnects { .. }
         | Action::DropIdle { .. }
         | Action::WakeAfter(_)
         | Action::Log(_) => None,
@@ -466,6 +467,8 @@
         }
         Action::Fail { .. } => writeln!(output, "ABORT\t{ticket}"),
         Action::Subscribe => writeln!(output, "OBSERVE\t1"),
+        // Whose connection is up the simulator does not say; it ends the others by itself.
+        Action::AbortConnects { .. } => Ok(()),
         Action::Probe { upstream } => writeln!(output, "POLL\t{}", upstream.0),
         Action::DropIdle { upstream } => writeln!(output, "DROP_CONNS\t{}", upstream.0),
         Action::WakeAfter(span) => writeln!(output, "AFTER\t{:.6}\tsweep", span.as_secs_f64()),
