Send no repeat whose connection comes up after the window for repeats

Checked: with a window of 2 s and a connection that does not come up, the test's caller waits for the whole dial timeout, and the repeat would go out within it. At fault: Action::Send carried no bound on its beginning, and exchange() in upstream.rs asked only for drains.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -557,7 +557,9 @@
 
     fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
         match action {
-            Action::Send { request, upstream, timeout } => self.send(core, request, upstream, timeout),
+            Action::Send { request, upstream, timeout, start_within } => {
+                self.send(core, request, upstream, timeout, start_within);
+            }
             Action::Withdraw { request, attempt } => {
                 let held = core.requests.get_mut(&request);
                 if let Some(out) =
@@ -613,6 +615,7 @@
         request: RequestId,
         upstream: UpstreamId,
         timeout: Option<Duration>,
+        start_within: Duration,
     ) {
         let Some(held) = core.requests.get_mut(&request) else { return };
         let attempt = AttemptNumber(held.attempts.len() as u32);
@@ -636,7 +639,8 @@
         held.attempts.push(Some(Out { upstream, end, progress: Rc::clone(&progress) }));
         held.out += 1;
         let (address, call) = (listed.address, Rc::clone(&held.call));
-        let job = Job { request, attempt, upstream, address, call, asked, until };
+        let start_by = until.min(asked + start_within);
+        let job = Job { request, attempt, upstream, address, call, asked, until, start_by };
         spawn_local(upstream::attempt(Rc::clone(self), job, progress, ended));
     }
 }
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -283,6 +283,8 @@
     pub asked: Instant,
     /// When it is given up.
     pub until: Instant,
+    /// When its sending must have begun.
+    pub start_by: Instant,
 }
 
 /// How an attempt ended.
@@ -374,7 +376,8 @@
         let mut connection = match kept {
             Some(connection) => connection,
             None => {
-                let dial = Dial { address: job.address, patience: driver.connect_timeout() };
+                let patience = job.start_by.saturating_duration_since(Instant::now());
+                let dial = Dial { address: job.address, patience: driver.connect_timeout().min(patience) };
                 // Short of sockets is no fault of the upstream's.
                 let Some(permit) = driver.permit() else { return (Outcome::NotSent.into(), None) };
                 match connect(permit, dial).await {
@@ -383,8 +386,9 @@
                 }
             }
         };
-        // While it connected, the upstream may have begun to drain, or gone: nothing new goes there.
-        if !driver.may_send(job.upstream, job.address) {
+        // While it connected, the upstream may have begun to drain, or gone: nothing new goes there. Nor does a
+        // repeat once the upstreams may have forgotten what they would know it by.
+        if !driver.may_send(job.upstream, job.address) || Instant::now() > job.start_by {
             return (Outcome::ConnectFailed.into(), None);
         }
         let request = job.call.request(job.until.saturating_duration_since(Instant::now()));
--- a/dahliahead/src/upstream/tests.rs
+++ b/dahliahead/src/upstream/tests.rs
@@ -143,6 +143,7 @@
             call: Rc::new(call(Method::GET, b"")),
             asked,
             until: asked + Duration::from_secs(30),
+            start_by: asked + Duration::from_secs(30),
         };
         let progress = Progress::default();
         let mut exchange = std::pin::pin!(exchange(&driver, &job, &progress));
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -380,6 +380,53 @@
     assert!(caller.answer().is_none());
 }
 
+/// Guards short windows for repeats: what may have run goes out again within the window only, and does not wait for a
+/// connection that comes up when it is over. Before, it is repeated.
+#[test]
+fn a_repeat_does_not_go_out_after_its_window() {
+    for (window, late) in [("2.0", true), ("30.0", false)] {
+        let (release, held) = std::sync::mpsc::channel::<()>();
+        let held = std::sync::Mutex::new(held);
+        let first = Upstream::start(move |number, _| {
+            if number > 0 {
+                return ok("served");
+            }
+            let _ = held.lock().expect("no panic").recv();
+            Reply::Last(Vec::new())
+        });
+        let (listener, filling) = full_listener();
+        let second = listener.local_addr().expect("bound");
+        let discovery = Discovery::start();
+        let known = [endpoint("s-1", first.address, 0, "ready")];
+        let text = configuration(discovery.address, &known, 50.0, 1024);
+        let text = text.replace(r#""windowS":10.0"#, &format!(r#""windowS":{window}"#));
+        let text = text.replace(r#""dialTimeoutS":5.0"#, r#""dialTimeoutS":60.0"#);
+        assert!(text.contains(window) && text.contains("60.0"));
+        let balancer = Balancer::start(&text);
+        let (_, watch) = discovery.watch();
+        let mut caller = balancer.caller();
+        caller.send("pay", "one");
+        first.wait_requests(1);
+        watch.says(8, false, &[endpoint("s-2", second, 0, "ready")]);
+        watch.end();
+        let (line, _watch) = discovery.watch();
+        assert_eq!(line, "GET /catalog/members?follow=1&since=8 HTTP/1.1");
+        release.send(()).expect("the upstream waits");
+        if late {
+            // Its time and the one for connecting are longer than the caller of this test waits.
+            assert_eq!(caller.answer().expect("an answer").status(), 502);
+        }
+        drop(filling);
+        let second = Upstream::on(listener, |_, _| ok("served"));
+        if !late {
+            assert_eq!(caller.answer().expect("an answer").status(), 200);
+        }
+        assert_eq!(balancer.caller().ask("order", "last").status(), 200);
+        let repeats = second.requests().iter().filter(|(_, request)| request.line.contains("/pay")).count();
+        assert_eq!(repeats, usize::from(!late));
+    }
+}
+
 /// Guards drains against attempts under way: what waits for its connection while its upstream begins to drain
 /// does not go out there, and is served elsewhere.
 #[test]
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -969,6 +969,11 @@
         }
         let until = self.useful_until(entry);
         let timeout = until - now;
+        // A repeat whose connection comes up after the window would run again.
+        let start_within = match (class.effect, entry.first_run()) {
+            (Effect::Keyed { window, .. }, Some(first)) => first.sent + window.as_secs_f64() - now,
+            _ => timeout,
+        };
         // A time-out at the deadline, off by a rounding, must not send the request once more.
         if timeout < LEAST_S {
             return false;
@@ -1002,7 +1007,8 @@
         });
         entry.out += 1;
         let timeout = Some(Duration::from_secs_f64(timeout));
-        actions.push(Action::Send { request: id, upstream: member.id, timeout });
+        let start_within = Duration::from_secs_f64(start_within.max(0.0));
+        actions.push(Action::Send { request: id, upstream: member.id, timeout, start_within });
         true
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -470,6 +470,8 @@
         upstream: UpstreamId,
         /// Give the attempt up after this long; `None` for as long as the client waits.
         timeout: Option<Duration>,
+        /// Past this it must not go out any more, should its connection come up later.
+        start_within: Duration,
     },
     /// Stop waiting on an attempt; its end is still reported.
     Withdraw {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -144,7 +144,7 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { request, upstream, timeout } => {
+            Action::Send { request, upstream, timeout, start_within } => {
                 let held = self.held.get_mut(&request).expect("a request that it has");
                 assert!(held.finals == 0 && !held.over, "sent after its end");
                 assert!(self.now < held.deadline, "sent after the deadline");
@@ -160,6 +160,8 @@
                         Effect::Unsafe => panic!("an unsafe request sent twice"),
                         Effect::Keyed { scope, window } => {
                             assert!(self.now <= first.at + window, "past the window");
+                            // A rounding is allowed.
+                            assert!(self.now + start_within <= first.at + window + Duration::from_micros(1));
                             let (one, two) = (member(first.upstream.0), member(upstream.0));
                             match scope {
                                 DedupScope::All => {}
