Copy a body's pieces as they come, so that tiny ones do not hold on to large buffers

Ruled out: the heads and what is sent ahead, which have limits of 16 KiB each. At fault: Limited::new(body, BODY_MOST).collect() in server.rs and upstream.rs.

--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{Full, LengthLimitError};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
@@ -29,7 +29,7 @@
 use crate::config::Config;
 use crate::driver::{Answer, Driver, Taken};
 use crate::screen::{Ambiguous, Screened, Unread};
-use crate::upstream::{BODY_MOST, Call};
+use crate::upstream::{BODY_MOST, Call, read_body};
 
 /// Taken off a caller's time, and again in each tier below: the answer must arrive before it is up. An answer
 /// goes out within 0.9 ms for 99 in 100 requests (r7909), so this leaves room for a busy core; 30 ms took from
@@ -552,9 +552,9 @@
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(BadRequest::TooLarge);
     }
-    let body = match timeout_at(by, Limited::new(body, BODY_MOST).collect()).await {
+    let body = match timeout_at(by, read_body(body)).await {
         Err(_) => return Err(BadRequest::Slow),
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
         Ok(Err(_)) => return Err(BadRequest::Body),
     };
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams and the attempts on them: what is sent, and what became of it.
 
 use std::cell::{Cell, RefCell};
+use std::error::Error;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -411,6 +412,22 @@
     }
 }
 
+/// Reads a body to its end into memory of its own: a piece of a byte, kept as it came, holds on to all that came with
+/// it, and thousands of them would fill the memory.
+///
+/// # Errors
+/// It is longer than bodies are, or breaks off.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let mut body = Limited::new(body, BODY_MOST);
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.into())
+}
+
 /// Reads an answer to its end; `None` if it is spoilt: it breaks off, is longer than answers are, or does not
 /// say where it ends, so that what came may be a part. Whatever it said before, its request may have run.
 async fn read(driver: &Driver, response: Response<Incoming>) -> Option<Ended> {
@@ -428,7 +445,7 @@
     if !ends || body.size_hint().lower() > BODY_MOST as u64 {
         return None;
     }
-    let body = Limited::new(body, BODY_MOST).collect().await.ok()?.to_bytes();
+    let body = read_body(body).await.ok()?;
     let outcome = match head.status {
         StatusCode::OK => Outcome::Good,
         _ if not_run => Outcome::Refused,
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/callers.rs
@@ -2,10 +2,8 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::io::{BufRead, Write};
+use std::process::Command;
 
 use common::*;
 
@@ -276,41 +274,6 @@
     assert!(upstream.requests().len() < 48, "{}", upstream.requests().len());
 }
 
-fn program(configuration: &str) -> Child {
-    program_within(1024, configuration)
-}
-
-/// Starts the program where descriptors really run out.
-fn program_within(descriptors: usize, configuration: &str) -> Child {
-    command_within(descriptors, &configuration_file(configuration)).spawn().expect("starts")
-}
-
-fn configuration_file(configuration: &str) -> PathBuf {
-    let mut file = std::env::temp_dir();
-    file.push(format!("dahliahead-{}-{:?}.json", std::process::id(), std::thread::current().id()));
-    std::fs::write(&file, configuration).expect("written");
-    file
-}
-
-fn command_within(descriptors: usize, file: &Path) -> Command {
-    let mut command = Command::new("/bin/sh");
-    command
-        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_dahliahead")])
-        .env_clear()
-        .env("PROXY_CONFIG", file)
-        .stderr(Stdio::piped());
-    command
-}
-
-/// Where the program says that it listens; its log stays open with the reader.
-fn address(child: &mut Child) -> (SocketAddr, BufReader<ChildStderr>) {
-    let mut log = BufReader::new(child.stderr.take().expect("piped"));
-    let mut line = String::new();
-    log.read_line(&mut line).expect("a line");
-    let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
-    (address, log)
-}
-
 /// Guards the accept loop against EMFILE: with fewer descriptors than the budget says, and nobody who reads
 /// the log of it, callers are still served, then as before.
 #[test]
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -2,8 +2,10 @@
 //! Everything listens on port 0; tests wait for what must happen, with limits that only a hang meets.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
@@ -394,6 +396,46 @@
     }
 }
 
+// --- The program ---
+
+/// Starts the program with a configuration of this text.
+pub fn program(configuration: &str) -> Child {
+    program_within(1024, configuration)
+}
+
+/// Starts the program where descriptors really run out.
+pub fn program_within(descriptors: usize, configuration: &str) -> Child {
+    command_within(descriptors, &configuration_file(configuration)).spawn().expect("starts")
+}
+
+pub fn configuration_file(configuration: &str) -> PathBuf {
+    let mut file = std::env::temp_dir();
+    file.push(format!("dahliahead-{}-{:?}.json", std::process::id(), std::thread::current().id()));
+    std::fs::write(&file, configuration).expect("written");
+    file
+}
+
+pub fn command_within(descriptors: usize, file: &Path) -> Command {
+    let mut command = Command::new("/bin/sh");
+    command
+        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_dahliahead")])
+        .env_clear()
+        .env("PROXY_CONFIG", file)
+        .stderr(Stdio::piped());
+    command
+}
+
+/// Where the program says that it listens; its log stays open with the reader.
+pub fn address(child: &mut Child) -> (SocketAddr, BufReader<ChildStderr>) {
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
+    (address, log)
+}
+
+// --- Callers ---
+
 /// A caller's connection.
 pub struct Caller(pub TcpStream);
 
