End callers' connections without closing over bytes that nobody has read

A caller with a small window that sends anything behind its request loses the rest of a 60 KiB answer (test: no whole answer comes). Ruled out: hyper's shutdown, which comes first and in order; the reset is the kernel's, on close() with unread bytes. At fault: connection() in server.rs, which dropped the socket when hyper was through, and which before an end asked only the bytes already read for a request that is coming in; one in the socket alone was closed over. Resets by callers and resets of answers have tests, too; they were right.

--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -5,7 +5,8 @@
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
-use std::net::SocketAddr;
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -20,6 +21,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use peathatch::interface::{ClassId, Effect, RequestId, TenantId};
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -57,6 +59,11 @@
 /// How long a connection that should close is still given for a request that may be on its way: a new one for its
 /// first, any for the rest of one that has begun to come.
 const ARRIVAL_GRACE: Duration = Duration::from_millis(100);
+/// How long a connection that we have ended is still read, so that its last answer arrives: closed over bytes that
+/// nobody has read it is reset, and what the system still holds of the answer is lost. A large one may take so long...
+const LINGER: Duration = Duration::from_secs(1);
+/// ...and so many bytes are thrown away at most meanwhile: who sends more than a request does not read.
+const LINGER_MOST: usize = 256 * 1024;
 /// How often the end of a drain is looked for.
 const DRAIN_LOOK: Duration = Duration::from_millis(10);
 /// A head must be whole so long after its first byte, or after the connection came: whoever sends less is owed
@@ -93,6 +100,8 @@
     since: Cell<Instant>,
     /// What has come in of a next request.
     unread: Rc<Unread>,
+    /// It is over for us; at most its last answer is on its way.
+    ended: Cell<bool>,
     /// Closes it once it is between requests.
     close: Notify,
 }
@@ -110,11 +119,12 @@
         })
     }
 
-    /// How little is lost with it, the least first: one that came and brings no request, one long idle, any other,
-    /// one whose next request is coming in.
+    /// How little is lost with it, the least first: one that is ended, or came and brings no request, one long idle,
+    /// any other, one whose next request is coming in.
     fn worth(&self) -> (u8, Instant) {
         let since = self.since.get();
         let rank = match (self.used.get(), since.elapsed()) {
+            _ if self.ended.get() => 0,
             (false, age) if age >= ARRIVAL_GRACE => 0,
             (true, _) if self.unread.since().is_some() => 4,
             (true, age) if age >= IDLE_LEAST => 1,
@@ -151,6 +161,7 @@
             used: Cell::new(false),
             since: Cell::new(Instant::now()),
             unread: Rc::default(),
+            ended: Cell::new(false),
             close: Notify::new(),
         });
         let number = self.next.get();
@@ -322,26 +333,31 @@
         tokio::select! {
             // An error means that the program is ending.
             _ = phases.wait_for(|&phase| phase != Phase::Serving) => {}
-            () = link.close.notified() => {}
+            // Its socket is wanted now; it has been idle for long, and its last answer has arrived.
+            () = link.close.notified() => link.ended.set(true),
         }
     };
     tokio::select! {
         biased;
-        _ = served.as_mut() => return,
+        _ = served.as_mut() => return linger(&stream, link).await,
         () = closing => {}
-        () = expired(link) => return,
+        () = expired(link) => {}
     }
-    // A request that is coming in is taken first: its last byte may be on its way, and would be lost.
-    while let Some(begun) = link.unread.since() {
+    // A request that is coming in is taken first, also where the runtime has not yet heard of it: its last byte may be
+    // on its way, and would be lost.
+    let asked = Instant::now();
+    let coming = || link.unread.since().is_some() || has_unread(&stream);
+    while coming() {
+        let begun = link.unread.since();
         let mut taken = poll_fn(|context| match served.as_mut().poll(context) {
             Poll::Ready(_) => Poll::Ready(true),
-            Poll::Pending if link.unread.since() != Some(begun) => Poll::Ready(false),
+            Poll::Pending if link.unread.since() != begun || !coming() => Poll::Ready(false),
             Poll::Pending => Poll::Pending,
         });
         tokio::select! {
             biased;
-            ended = &mut taken => if ended { return },
-            () = sleep_until(begun + ARRIVAL_GRACE) => break,
+            ended = &mut taken => if ended { return linger(&stream, link).await },
+            () = sleep_until(begun.unwrap_or(asked) + ARRIVAL_GRACE) => break,
         }
     }
     served.as_mut().graceful_shutdown();
@@ -350,14 +366,48 @@
     if !link.used.get() {
         tokio::select! {
             biased;
-            _ = served.as_mut() => return,
+            _ = served.as_mut() => return linger(&stream, link).await,
             () = sleep_until(link.since.get() + ARRIVAL_GRACE) => {}
         }
         if !link.used.get() {
-            return;
+            return linger(&stream, link).await;
         }
     }
     let _ = served.await;
+    linger(&stream, link).await;
+}
+
+/// Whether the system holds bytes of the caller's that nobody has read.
+fn has_unread(stream: &TcpStream) -> bool {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
+}
+
+/// Ends a connection and waits for the caller to do so too. What comes until then is no request any more: a caller
+/// whose request crosses the end sends it once more elsewhere.
+async fn linger(stream: &TcpStream, link: &Link) {
+    let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+    if link.ended.replace(true) {
+        return;
+    }
+    link.busy.set(false);
+    let until = Instant::now() + LINGER;
+    let mut left = LINGER_MOST;
+    let mut piece = [0; 1024];
+    let read = async {
+        while left > 0 && stream.readable().await.is_ok() {
+            match stream.try_read(&mut piece) {
+                Ok(0) => return,
+                Ok(bytes) => left = left.saturating_sub(bytes),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    tokio::select! {
+        () = read => {}
+        () = sleep_until(until) => {}
+        () = link.close.notified() => {}
+    }
 }
 
 /// Waits until a connection has gone without a request for too long.
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -103,6 +103,32 @@
     }
 }
 
+/// Guards callers against a part of an answer: one that is reset on the way is not whole, though it has no length and
+/// so might end anywhere. It may have run: what must not run twice is failed, what may is sent elsewhere.
+#[test]
+fn a_reset_is_no_end_of_an_answer() {
+    for part in [
+        "HTTP/1.1 200 OK\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabcde",
+        "HTTP/1.0 200 OK\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabcde",
+    ] {
+        for when_read in [false, true] {
+            let cut = move || Upstream::start(move |_, _| Reply::Reset(part.as_bytes().to_vec(), when_read));
+            let (first, second) = (cut(), cut());
+            let known =
+                [endpoint("s-1", first.address, 0, "ready"), endpoint("s-2", second.address, 0, "ready")];
+            let (balancer, _discovery) = Balancer::with(&known, 30.0);
+            let seen = || first.requests().len() + second.requests().len();
+            assert_eq!(balancer.caller().ask("order", "one").status(), 502, "{part:?}");
+            assert_eq!(seen(), 1, "{part:?}: it was sent again");
+            let refused = balancer.caller().ask("read", "");
+            assert_eq!((refused.status(), seen()), (503, 3), "{part:?}: it may be repeated");
+        }
+    }
+}
+
 /// Guards the group of a keyed request: what may have run is repeated only where repeats are dropped.
 #[test]
 fn a_keyed_request_is_repeated_within_its_cell_only() {
@@ -157,6 +183,45 @@
     assert_eq!(upstream.requests().len(), 1);
 }
 
+/// Guards the same where a caller's connection is reset, before the request's attempt is out or after, with nothing or
+/// with bytes behind the request.
+#[test]
+fn a_caller_whose_connection_is_reset_has_left() {
+    for behind in ["", "GET /re"] {
+        let upstream = Upstream::start(|_, _| Reply::Silence);
+        let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
+        let mut caller = balancer.caller();
+        caller.send_as("mine", "order", "one");
+        caller.raw(behind.as_bytes());
+        upstream.wait_requests(1);
+        reset(caller.0);
+        upstream.wait_closed(1);
+        assert_eq!(upstream.requests().len(), 1);
+    }
+    let (listener, filling) = full_listener();
+    let (balancer, _discovery) =
+        Balancer::with(&[endpoint("s-1", listener.local_addr().expect("bound"), 0, "ready")], 50.0);
+    let mut caller = balancer.caller();
+    caller.send_as("mine", "order", "left");
+    balancer.catches_up();
+    reset(caller.0);
+    // Its id is free again once the balancer has seen it.
+    let mut stays = wait_for("the id is free", || {
+        let mut caller = balancer.caller();
+        caller.send_as("mine", "order", "stays");
+        balancer.catches_up();
+        caller.0.set_nonblocking(true).expect("set");
+        let open = caller.0.peek(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+        caller.0.set_nonblocking(false).expect("set");
+        open.then_some(caller)
+    });
+    drop(filling);
+    let upstream = Upstream::on(listener, |_, _| ok("served"));
+    assert_eq!(stays.answer().expect("an answer").status(), 200);
+    let bodies: Vec<_> = upstream.requests().into_iter().map(|(_, request)| request.body).collect();
+    assert_eq!(bodies, [b"stays"]);
+}
+
 /// Guards against writing to a connection that the upstream has closed: the next request finds a new one.
 #[test]
 fn a_connection_that_the_upstream_closed_is_not_used_again() {
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/callers.rs
@@ -6,6 +6,7 @@
 use std::process::Command;
 
 use common::*;
+use socket2::{Domain, Socket, Type};
 
 /// Guards the decisions against what they can't take, and the caller against silence.
 #[test]
@@ -143,6 +144,54 @@
     assert_eq!(upstream.requests().len(), 2);
 }
 
+/// Guards answers against what comes behind them: a connection is not closed over bytes that nobody has read, which would
+/// reset it and take along what the system still holds of the answer.
+#[test]
+fn an_answer_arrives_whole_whatever_comes_behind_it() {
+    let body = "x".repeat(60 * 1024);
+    let shared = body.clone();
+    let upstream = Upstream::start(move |_, _| ok(&shared));
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    // A small window, so that most of the answer waits on the balancer's side.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("set");
+    socket.connect(&balancer.address.into()).expect("accepted");
+    let mut caller = Caller(socket.into());
+    caller.0.set_read_timeout(Some(LONG)).expect("set");
+    // Where a body comes in chunks its connection ends with the answer.
+    caller.raw(
+        b"POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: o\r\nX-Tenant: acme\r\nTransfer-Encoding: chunked\r\n\r\n\
+          0\r\n\r\n",
+    );
+    assert_eq!(caller.0.peek(&mut [0]).expect("an answer begins"), 1);
+    balancer.catches_up();
+    caller.raw(b"GET /read HTTP/1.1\r\nHost: a\r\n\r\n");
+    balancer.catches_up();
+    let answer = caller.answer().expect("a whole answer");
+    assert_eq!((answer.status(), answer.body.len()), (200, body.len()));
+    assert!(caller.answer().is_none());
+    assert_eq!(upstream.requests().len(), 1);
+}
+
+/// Guards callers that rest until the balancer ends their connection and send just then: what comes behind the end is
+/// not sent on, as no answer could reach them; they send it once more elsewhere.
+#[test]
+fn a_request_behind_the_end_of_its_connection_is_not_sent_on() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let mut caller = balancer.caller();
+    assert_eq!(caller.ask("order", "one").status(), 200);
+    assert!(caller.answer().is_none(), "it rests until it is ended");
+    caller.send_as("late", "order", "late");
+    assert!(caller.answer().is_none());
+    let _ = caller.0.shutdown(std::net::Shutdown::Write);
+    let mut next = balancer.caller();
+    next.send_as("late", "order", "again");
+    assert_eq!(next.answer().expect("an answer").status(), 200);
+    let bodies: Vec<_> = upstream.requests().into_iter().map(|(_, request)| request.body).collect();
+    assert_eq!(bodies, [&b"one"[..], b"again"]);
+}
+
 /// Guards the descriptor limit: idle callers give way to new ones, and nobody is left waiting.
 #[test]
 fn idle_callers_give_way_when_sockets_run_out() {
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use dahliahead::config::Config;
 use dahliahead::server;
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::sync::{oneshot, watch};
 
 /// Longer than anything takes that works.
@@ -90,6 +90,8 @@
     Bytes(Vec<u8>),
     /// Writes these bytes and closes.
     Last(Vec<u8>),
+    /// Writes these bytes and resets the connection, at once or when they have been read.
+    Reset(Vec<u8>, bool),
     /// Says nothing until the balancer closes.
     Silence,
 }
@@ -182,12 +184,42 @@
                 let _ = stream.write_all(&bytes);
                 return;
             }
+            Reply::Reset(bytes, when_read) => {
+                let _ = stream.write_all(&bytes);
+                if when_read {
+                    wait_for("the answer is read", || is_read(&stream).then_some(()));
+                }
+                reset(stream);
+                return;
+            }
             Reply::Silence => {}
         }
     }
     seen.lock().expect("no panic").closed += 1;
 }
 
+/// Whether the other side has taken all that was written.
+fn is_read(stream: &TcpStream) -> bool {
+    let address = |address: SocketAddr| match address {
+        SocketAddr::V4(address) => {
+            format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port())
+        }
+        SocketAddr::V6(_) => unreachable!("all tests use IPv4"),
+    };
+    let (near, far) = (stream.local_addr().expect("open"), stream.peer_addr().expect("open"));
+    let ends = format!("{} {}", address(far), address(near));
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("Linux");
+    // What the other end has received and not read is the second half of its queues.
+    let line = table.lines().find(|line| line.contains(&ends));
+    let queues = line.and_then(|line| line.split_whitespace().nth(4));
+    queues.is_none_or(|queues| queues.ends_with(":00000000"))
+}
+
+/// Closes with a reset in place of an end.
+pub fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+}
+
 /// A listener whose connections do not come up before it accepts: its queue is full of those that come with it.
 pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
