Say ready only with an upstream to serve, and ask for the whole list in place of a useless one

At fault: has_list in driver.rs, and Driver::start, which noted the version of any list in hand. health_waits_for_a_list() becomes stricter: each kind of list with nobody ready keeps 503. bytes_without_a_word_are_silence() starts from an empty list, so its watches are asked for whole (since=0) and not from 7; what it guards is as before.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -130,8 +130,6 @@
     /// Idle connections, the most recently used last.
     kept: FxHashMap<UpstreamId, Vec<Kept>>,
     index: u64,
-    /// Some list has come, with the configuration or from discovery.
-    has_list: bool,
     watch: Option<AbortHandle>,
     watch_number: u64,
     /// The watch where discovery was before it moved, until the new one has spoken.
@@ -183,7 +181,6 @@
             listed: FxHashMap::default(),
             kept: FxHashMap::default(),
             index: 0,
-            has_list: false,
             watch: None,
             watch_number: 0,
             old_watch: None,
@@ -202,12 +199,14 @@
             ends: Cell::new(None),
             sockets_most: config.sockets.saturating_sub(OTHER_DESCRIPTORS),
         });
-        // The subscription asks for what came after the list in hand, so that is noted first.
-        driver.core.borrow_mut().index = config.known.as_ref().map_or(0, |known| known.index);
-        driver.handle(Event::Started);
+        // The subscription asks for what came after the list in hand, so that is taken in first. One that names nobody to
+        // serve is asked for whole: what it lacks may not change for long.
         if let Some(known) = config.known {
+            let index = known.index;
             driver.take_list(known, ListUpdate::StaleCopy);
+            driver.core.borrow_mut().index = if driver.can_serve() { index } else { 0 };
         }
+        driver.handle(Event::Started);
         let sweeper = Rc::clone(&driver);
         spawn_local(async move {
             loop {
@@ -236,10 +235,10 @@
         self.retry_after
     }
 
-    /// Whether a list of upstreams is in hand.
+    /// Whether the list in hand names an upstream that requests can go to.
     #[must_use]
     pub fn can_serve(&self) -> bool {
-        self.core.borrow().has_list
+        self.core.borrow().listed.values().any(|listed| listed.ready)
     }
 
     /// How a class's requests may be repeated and how long its clients wait.
@@ -484,7 +483,6 @@
                     }
                 }
             }
-            core.has_list |= !members.is_empty() || kind(Vec::new()) != ListUpdate::StaleCopy(Vec::new());
             if whole {
                 core.listed.retain(|id, _| seen.contains(id));
             }
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -93,20 +93,55 @@
     assert_eq!(caller.ask("order", "two").body, b"new");
 }
 
-/// Guards the front against a balancer that has no list yet.
+fn health(balancer: &Balancer) -> u16 {
+    let mut caller = balancer.caller();
+    caller.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+    caller.answer().expect("an answer").status()
+}
+
+/// Guards the front against a balancer that cannot serve yet: with no list, an empty one, or nobody in it who is ready.
+/// A list in hand that names nobody is asked for whole, and not for what came after it.
 #[test]
-fn health_waits_for_a_list() {
+fn health_waits_for_an_upstream_that_is_ready() {
     let upstream = Upstream::start(|_, _| ok("served"));
-    let (balancer, discovery) = Balancer::with(&[], 30.0);
-    let mut caller = balancer.caller();
-    let mut health = || {
-        caller.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
-        caller.answer().expect("an answer").status()
-    };
-    assert_eq!(health(), 503);
-    let (_, watch) = discovery.watch();
-    watch.says(8, true, &[endpoint("s-1", upstream.address, 0, "ready")]);
-    wait_for("the balancer can serve", || (health() == 200).then_some(()));
+    let draining = endpoint("s-1", upstream.address, 0, "draining");
+    let unreadable = serde_json::json!({"name": "s-1", "address": "nowhere", "status": "ready"});
+    for known in [vec![], vec![draining.clone()], vec![unreadable]] {
+        let (balancer, discovery) = Balancer::with(&known, 30.0);
+        assert_eq!(health(&balancer), 503);
+        let (line, watch) = discovery.watch();
+        assert_eq!(line, "GET /catalog/members?follow=1&since=0 HTTP/1.1");
+        watch.bytes(b"\n");
+        watch.says(8, true, std::slice::from_ref(&draining));
+        watch.says(9, true, &[]);
+        watch.end();
+        let (line, watch) = discovery.watch();
+        assert_eq!(line, "GET /catalog/members?follow=1&since=9 HTTP/1.1");
+        assert_eq!(health(&balancer), 503, "nobody is ready");
+        watch.says(10, false, &[endpoint("s-1", upstream.address, 0, "ready")]);
+        wait_for("the balancer can serve", || (health(&balancer) == 200).then_some(()));
+        assert_eq!(balancer.caller().ask("read", "").status(), 200);
+    }
+}
+
+/// Guards restarts: with a list in hand a balancer serves at once, whatever has become of discovery: down, silent from
+/// the start, cut off behind a full queue, or refusing calls.
+#[test]
+fn a_list_in_hand_serves_without_discovery() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let refusing = Upstream::start(|_, _| status("503 Service Unavailable"));
+    let silent = Upstream::start(|_, _| Reply::Silence);
+    let (cut_off, _filling) = full_listener();
+    let cut_off = cut_off.local_addr().expect("bound");
+    for discovery in [dead_address(), silent.address, cut_off, refusing.address] {
+        let known = [endpoint("s-1", upstream.address, 0, "ready")];
+        let started = std::time::Instant::now();
+        let balancer = Balancer::start(&configuration(discovery, &known, 30.0, 1024));
+        assert_eq!(health(&balancer), 200);
+        assert_eq!(balancer.caller().ask("read", "").status(), 200);
+        // Far less than what a watch or a connection is waited for.
+        assert!(started.elapsed() < std::time::Duration::from_secs(5));
+    }
 }
 
 /// Guards drains across a reload: the new watch is asked for at once, from the version in hand, and until it
@@ -213,7 +248,7 @@
             next.is_some().then_some(())
         });
         let (line, _watch) = next.expect("it was waited for");
-        assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
+        assert_eq!(line, "GET /catalog/members?follow=1&since=0 HTTP/1.1");
     }
 }
 
--- a/dahliahead/tests/floods.rs
+++ b/dahliahead/tests/floods.rs
@@ -57,3 +57,94 @@
     program.wait().expect("ends");
     assert!(peak < 48 * 1024, "{peak} KiB");
 }
+
+fn descriptors(program: &std::process::Child) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", program.id())).expect("it runs").count()
+}
+
+/// Guards memory, descriptors and the others against callers that send much at once and go, and against many that leave
+/// in one moment with their requests out: what they held is free again, and their attempts are over.
+#[test]
+fn callers_that_send_much_and_go_leave_nothing_behind() {
+    let upstream =
+        Upstream::start(|_, message| if message.body == b"held" { Reply::Silence } else { ok("served") });
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let mut program = program(&configuration(discovery.address, &known, 50.0, 1024));
+    let (address, _log) = address(&mut program);
+    let (_, _watch) = discovery.watch();
+    assert_eq!(Caller::connect(address).ask("order", "one").status(), 200);
+    let before = descriptors(&program);
+    let mut leaving: Vec<Caller> = (0..100).map(|_| Caller::connect(address)).collect();
+    for caller in &mut leaving {
+        caller.send("order", "held");
+    }
+    upstream.wait_requests(101);
+    let much = "x".repeat(1 << 20);
+    let head = "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: m\r\nX-Tenant: acme\r\n";
+    for _ in 0..30 {
+        for begun in [
+            String::new(),
+            format!("{head}X-Fill: "),
+            format!("{head}Content-Length: 60000000\r\n\r\n"),
+            format!("{head}Transfer-Encoding: chunked\r\n\r\nfffff0\r\n"),
+            format!("{head}Content-Length: 5\r\n\r\nabcde"),
+        ] {
+            let mut caller = Caller::connect(address);
+            let _ = caller.0.write_all(begun.as_bytes());
+            let _ = caller.0.write_all(much.as_bytes());
+        }
+    }
+    assert_eq!(Caller::connect(address).ask("order", "two").status(), 200);
+    drop(leaving);
+    // Their attempts end with them, each with its connection.
+    upstream.wait_closed(100);
+    wait_for("the descriptors are free", || (descriptors(&program) <= before + 2).then_some(()));
+    assert_eq!(Caller::connect(address).ask("order", "three").status(), 200);
+    let peak = peak_kib(&program);
+    program.kill().expect("it runs");
+    program.wait().expect("ends");
+    assert!(peak < 32 * 1024, "{peak} KiB");
+}
+
+/// Guards proper callers and the peers themselves where many send no proper request, all at a time: each gets an error or
+/// a close long before this test is impatient, and a proper caller is served among them.
+#[test]
+fn many_malformed_peers_get_their_end_beside_others() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let balancer = Balancer::start(&configuration(discovery.address, &known, 30.0, 256));
+    let good = "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\n\r\n";
+    let mut proper = balancer.caller();
+    let mut peers = Vec::new();
+    for _ in 0..15 {
+        for text in [
+            "".to_owned(),
+            "\r\n\r\n\r\n".to_owned(),
+            "\u{16}\u{3}\u{1}\u{0}\u{1}".to_owned(),
+            "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_owned(),
+            good.replace("acme", "nobody"),
+            good.replace("/read", "/nothing"),
+            good.replace("GET", "BREW"),
+            good.replace("HTTP/1.1", "HTTP/9.9"),
+            good.replace("X-Request-Id: r", "X-Request-Id"),
+            good.replace("\r\n\r\n", "\r\nContent-Length: 10\r\n\r\nabc"),
+            good[..40].to_owned(),
+            good.replace("a\r\n", &format!("a\r\nX-Fill: {}\r\n", "x".repeat(40_000))),
+        ] {
+            let mut peer = balancer.caller();
+            let _ = peer.0.write_all(text.as_bytes());
+            peers.push((peer, text));
+            if peers.len() % 10 == 0 {
+                assert_eq!(proper.ask("order", "x").status(), 200);
+            }
+        }
+    }
+    for (mut peer, text) in peers {
+        let answer = peer.answer();
+        assert!(answer.is_none_or(|answer| (400..600).contains(&answer.status())), "{text:.40}");
+    }
+    assert_eq!(balancer.caller().ask("order", "x").status(), 200);
+    assert!(upstream.requests().iter().all(|(_, request)| request.line.contains("/order")));
+}
