--- a/dahliahead/src/config.rs
+++ b/dahliahead/src/config.rs
@@ -73,7 +73,7 @@
 pub struct Config {
     /// Its name.
     pub name: String,
-    /// Where callers connect.
+    /// Where clients connect.
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -31,8 +31,8 @@
 const KEEP_PART: f64 = 0.7;
 /// Descriptors that are no connection: standard streams, listener, runtime.
 const OTHER_DESCRIPTORS: usize = 16;
-/// Descriptors that upstream connections leave to callers.
-const CALLERS_PART: usize = 4;
+/// Descriptors that upstream connections leave to clients.
+const CLIENTS_PART: usize = 4;
 
 /// A socket counted against the budget for as long as it lives.
 #[derive(Debug)]
@@ -53,7 +53,7 @@
     }
 }
 
-/// The final answer to a caller.
+/// The final answer to a client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
     /// What an upstream answered.
@@ -67,7 +67,7 @@
     Failed,
 }
 
-/// A caller's request, ready for the decisions.
+/// A client's request, ready for the decisions.
 #[derive(Debug)]
 pub struct Taken {
     /// Its class.
@@ -78,7 +78,7 @@
     pub key: Option<u64>,
     /// The work expected.
     pub expected_work: Option<Duration>,
-    /// The caller has marked it as a repeat.
+    /// The client has marked it as a repeat.
     pub repeat: bool,
     /// When the answer must be out.
     pub deadline: Instant,
@@ -121,7 +121,7 @@
     balancer: Balancer,
     events: VecDeque<Event>,
     requests: FxHashMap<RequestId, Held>,
-    /// The callers' ids of the requests held: upstreams count a second request with one of them as a copy.
+    /// The clients' ids of the requests held: upstreams count a second request with one of them as a copy.
     open: FxHashSet<Box<[u8]>>,
     next_request: u64,
     /// The numbers of the upstreams listed. Names are ever new, so those of others are forgotten.
@@ -229,7 +229,7 @@
         self.connect_timeout
     }
 
-    /// How long a caller that is refused is asked to stay away.
+    /// How long a client that is refused is asked to stay away.
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
         self.retry_after
@@ -253,7 +253,7 @@
 
     // --- Sockets ---
 
-    /// Counts a connection that is had in any case: a caller's, which the machine has already accepted, or
+    /// Counts a connection that is had in any case: a client's, which the machine has already accepted, or
     /// discovery's, without which drains would be missed.
     #[must_use]
     pub fn reserved_permit(&self) -> Permit {
@@ -262,8 +262,8 @@
 
     /// Whether so many sockets are open that those not in use must go.
     #[must_use]
-    pub fn crowded(&self) -> bool {
-        self.sockets.get() >= self.sockets_most - self.sockets_most / (2 * CALLERS_PART)
+    pub fn short_of_sockets(&self) -> bool {
+        self.sockets.get() >= self.sockets_most - self.sockets_most / (2 * CLIENTS_PART)
     }
 
     /// Whether the last socket of the budget is taken.
@@ -275,7 +275,7 @@
     /// A socket for a connection of our own, if the budget has one: idle ones are closed to make room.
     #[must_use]
     pub fn permit(&self) -> Option<Permit> {
-        let most = self.sockets_most - self.sockets_most / CALLERS_PART;
+        let most = self.sockets_most - self.sockets_most / CLIENTS_PART;
         if self.sockets.get() >= most {
             self.drop_idle_most();
         }
@@ -339,7 +339,7 @@
         self.ends.set(Some(ends));
     }
 
-    /// Takes a request; its final answer comes through the receiver. `None` if one with the caller's id is
+    /// Takes a request; its final answer comes through the receiver. `None` if one with the client's id is
     /// open, or has attempts out.
     pub fn take(self: &Rc<Self>, taken: Taken) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (answer, receiver) = oneshot::channel();
@@ -368,8 +368,8 @@
         Some((id, receiver))
     }
 
-    /// The caller has left, or its time is up: nothing more is owed.
-    pub fn caller_left(self: &Rc<Self>, id: RequestId) {
+    /// The client has left, or its time is up: nothing more is owed.
+    pub fn client_left(self: &Rc<Self>, id: RequestId) {
         {
             let mut core = self.core.borrow_mut();
             let Some(held) = core.requests.get_mut(&id) else { return };
@@ -400,7 +400,7 @@
             if let Some(body) = ended.body
                 && let Some(answer) = held.answer.take()
             {
-                // A caller that has just left is told of on its own way.
+                // A client that has just left is told of on its own way.
                 let _ = answer.send(Answer::Served(body));
             }
             let finished = held.answer.is_none();
@@ -647,7 +647,7 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         if let Some(sender) = held.answer.take() {
-            // A caller that has just left is told of on its own way.
+            // A client that has just left is told of on its own way.
             let _ = sender.send(answer);
         }
         self.release(id);
--- a/dahliahead/src/screen.rs
+++ b/dahliahead/src/framing.rs
@@ -1,4 +1,4 @@
-//! What hyper does not tell of a caller's bytes: lengths that contradict each other, and what stands behind a
+//! What hyper does not tell of a client's bytes: lengths that contradict each other, and what stands behind a
 //! request on its connection. A request whose end is in doubt may hide another one.
 
 use std::cell::{Cell, RefCell};
@@ -19,11 +19,11 @@
 #[error("the lengths contradict each other")]
 pub struct Ambiguous;
 
-/// Bytes at most that are kept of what a caller sends ahead of its answer: a head's. Callers send a single
+/// Bytes at most that are kept of what a client sends ahead of its answer: a head's. Clients send a single
 /// request at a time, and a memory of many must not fill.
 const AHEAD_MOST: usize = 16 * 1024;
 
-/// A caller's bytes that belong to no request taken so far.
+/// A client's bytes that belong to no request taken so far.
 #[derive(Debug, Default)]
 pub struct Unread {
     /// Those that hyper has read.
@@ -90,7 +90,7 @@
         ![&b"GET "[..], b"POST "].iter().any(begins)
     }
 
-    /// Waits until the caller of the request that is being answered has left. Hyper stops to read, and so to
+    /// Waits until the client of the request that is being answered has left. Hyper stops to read, and so to
     /// hear of it, once anything has come behind the request; so that is read here.
     pub async fn left(&self, stream: &TcpStream) {
         let mut piece = [0; 1024];
@@ -166,13 +166,13 @@
     None
 }
 
-/// A caller's socket that notes what is read from it.
-pub struct Screened {
+/// A client's socket that notes what is read from it.
+pub struct InspectedStream {
     stream: Rc<TcpStream>,
     unread: Rc<Unread>,
 }
 
-impl Screened {
+impl InspectedStream {
     /// Notes in `unread` what is read from the socket.
     #[must_use]
     pub fn new(stream: Rc<TcpStream>, unread: Rc<Unread>) -> Self {
@@ -195,7 +195,7 @@
     }
 }
 
-impl AsyncRead for Screened {
+impl AsyncRead for InspectedStream {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -225,7 +225,7 @@
     }
 }
 
-impl AsyncWrite for Screened {
+impl AsyncWrite for InspectedStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_with(context, |stream| stream.try_write(bytes))
     }
--- a/dahliahead/src/screen/tests.rs
+++ b/dahliahead/src/framing/tests.rs
@@ -23,7 +23,7 @@
     assert_eq!(taken("POST / HTTP/1.1\r\nContent-Length: 5").0, Err(Ambiguous));
 }
 
-/// Guards callers that send their next request early, and the count of what has been taken.
+/// Guards clients that send their next request early, and the count of what has been taken.
 #[test]
 fn what_stands_behind_a_request_is_known() {
     for (behind, noise) in [("", false), ("GET /x HT", false), ("\r\nPO", false), ("lments", true)] {
--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod config;
 pub mod discovery;
 pub mod driver;
-pub mod screen;
+pub mod framing;
 pub mod server;
 pub mod upstream;
 
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -1,4 +1,4 @@
-//! Callers: their connections and requests, `/_health`, and the end of the program.
+//! Clients: their connections and requests, `/_health`, and the end of the program.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -30,12 +30,12 @@
 
 use crate::config::Config;
 use crate::driver::{Answer, Driver, Taken};
-use crate::screen::{Ambiguous, Screened, Unread};
+use crate::framing::{Ambiguous, InspectedStream, Unread};
 use crate::upstream::{BODY_MOST, Call, read_body};
 
-/// Taken off a caller's time, and again in each tier below: the answer must arrive before it is up. An answer
+/// Taken off a client's time, and again in each tier below: the answer must arrive before it is up. An answer
 /// goes out within 0.9 ms for 99 in 100 requests (r7909), so this leaves room for a busy core; 30 ms took from
-/// callers that wait 80 ms all that the tier below needs.
+/// clients that wait 80 ms all that the tier below needs.
 const MARGIN: Duration = Duration::from_millis(8);
 /// Left to the decisions for a last word past that, before the answer is given for them.
 const LAST_WORD: Duration = Duration::from_millis(10);
@@ -45,12 +45,12 @@
 const KILL_DEADLINE: Duration = Duration::from_secs(3);
 /// All answers are out so long before that.
 const KILL_MARGIN: Duration = Duration::from_millis(200);
-/// Part of the time until then in which connections go on as before: callers may have no other balancer until
+/// Part of the time until then in which connections go on as before: clients may have no other balancer until
 /// this one is back, and use their connections for as long as these stay open. What comes at the end of it
 /// still has some 0.35 s for its answer, three times what half of the answers took on r7000; there 0.6 left
 /// clients without a balancer for a second longer.
 const DRAIN_OPEN_PART: f64 = 0.9;
-/// Callers' connections that are kept free until then: callers bring no new ones to a balancer that ends, and
+/// Clients' connections that are kept free until then: clients bring no new ones to a balancer that ends, and
 /// where none is free for a moment it may be taken for gone while it could still serve. Two, as one may be taken
 /// while a refusal is on its way on the other; a quarter of them refused every second request on r7000.
 const DRAIN_FREE: usize = 2;
@@ -71,7 +71,7 @@
 const HEAD_WITHIN: Duration = Duration::from_secs(2);
 /// Its body must have come so long after the same moment.
 const BODY_WITHIN: Duration = Duration::from_millis(2500);
-/// A connection between requests is closed after this: callers that asked once and stay must not add up.
+/// A connection between requests is closed after this: clients that asked once and stay must not add up.
 const IDLE_MOST: Duration = Duration::from_secs(3);
 /// A connection between requests may be closed from then on when sockets run short; sooner is a last resort.
 const IDLE_LEAST: Duration = Duration::from_secs(2);
@@ -90,7 +90,7 @@
     Ending,
 }
 
-/// A caller's connection as seen from outside it.
+/// A client's connection as seen from outside it.
 struct Link {
     /// A request has come on it whose answer is not yet out.
     busy: Cell<bool>,
@@ -134,14 +134,14 @@
         (rank, since)
     }
 
-    /// Whether it may be closed for the sake of others: callers may count on it for a while.
-    fn is_spare(&self) -> bool {
+    /// Whether it may be closed for the sake of others: clients may count on it for a while.
+    fn is_evictable(&self) -> bool {
         self.worth().0 <= 1
     }
 }
 
-/// The callers' connections.
-struct Callers {
+/// The clients' connections.
+struct Clients {
     driver: Rc<Driver>,
     phases: watch::Receiver<Phase>,
     /// By the order of their coming.
@@ -151,9 +151,9 @@
     draining: Cell<bool>,
 }
 
-impl Callers {
+impl Clients {
     fn accept(self: &Rc<Self>, stream: TcpStream) {
-        if self.driver.crowded() {
+        if self.driver.short_of_sockets() {
             self.make_room();
         }
         let link = Rc::new(Link {
@@ -169,20 +169,20 @@
         self.links.borrow_mut().insert(number, Rc::clone(&link));
         // Counted from here on, or a burst of connections would not see itself.
         let permit = self.driver.reserved_permit();
-        let callers = Rc::clone(self);
+        let clients = Rc::clone(self);
         spawn_local(async move {
-            connection(&callers, stream, &link).await;
-            callers.links.borrow_mut().remove(&number);
+            connection(&clients, stream, &link).await;
+            clients.links.borrow_mut().remove(&number);
             drop(permit);
         });
     }
 
-    /// Closes a connection between requests: a caller's that is spare, which costs it a new one at most, or else
-    /// one to an upstream, or else any caller's.
+    /// Closes a connection between requests: a client's that may be evicted, which costs it a new one at most, or else
+    /// one to an upstream, or else any client's.
     fn make_room(&self) {
         let links = self.links.borrow();
         let least = links.values().filter(|link| !link.busy.get()).min_by_key(|link| link.worth());
-        if least.is_some_and(|link| link.is_spare()) || !self.driver.drop_idle_most() {
+        if least.is_some_and(|link| link.is_evictable()) || !self.driver.drop_idle_most() {
             let Some(link) = least else { return };
             // Marked, so that the next in need finds another.
             link.busy.set(true);
@@ -190,11 +190,11 @@
         }
     }
 
-    /// Whether a request would leave callers too few free connections to go on with. Serving is about to end, so
-    /// a call refused at once, while its caller can still reach another balancer, is worth less than the many
+    /// Whether a request would leave clients too few free connections to go on with. Serving is about to end, so
+    /// a call refused at once, while its client can still reach another balancer, is worth less than the many
     /// that the free ones still bring. It guards against any pool that gives a busy balancer up, and does harm
-    /// where each connection is a caller of its own, which has no use for those of others.
-    fn spares_none(&self) -> bool {
+    /// where each connection is a client of its own, which has no use for those of others.
+    fn lacks_idle(&self) -> bool {
         if !self.draining.get() {
             return false;
         }
@@ -246,41 +246,41 @@
     });
     let (phase, phases) = watch::channel(Phase::Serving);
     let ends_after = (longest.min(KILL_DEADLINE) + KILL_GRACE).saturating_sub(KILL_MARGIN);
-    let callers = Rc::new(Callers {
+    let clients = Rc::new(Clients {
         driver,
         phases,
         links: RefCell::default(),
         next: Cell::new(0),
         draining: Cell::new(false),
     });
-    accept_until(&listener, &callers, stop).await;
+    accept_until(&listener, &clients, stop).await;
     let ends = Instant::now() + ends_after;
-    callers.driver.end_by(ends);
-    callers.draining.set(true);
-    accept_until(&listener, &callers, sleep(ends_after.mul_f64(DRAIN_OPEN_PART))).await;
+    clients.driver.end_by(ends);
+    clients.draining.set(true);
+    accept_until(&listener, &clients, sleep(ends_after.mul_f64(DRAIN_OPEN_PART))).await;
     let _ = phase.send(Phase::Closing);
-    accept_until(&listener, &callers, sleep(DRAIN_LATE)).await;
-    // Connections that carried a request end with its answer. One that never did is owed nothing; a caller
+    accept_until(&listener, &clients, sleep(DRAIN_LATE)).await;
+    // Connections that carried a request end with its answer. One that never did is owed nothing; a client
     // that never takes its answer must not hold up the end.
-    while callers.owes() && Instant::now() < ends {
-        accept_until(&listener, &callers, sleep(DRAIN_LOOK)).await;
+    while clients.owes() && Instant::now() < ends {
+        accept_until(&listener, &clients, sleep(DRAIN_LOOK)).await;
     }
     let _ = phase.send(Phase::Ending);
     let last = Instant::now() + DRAIN_LATE;
-    while callers.owes() && Instant::now() < last {
-        accept_until(&listener, &callers, sleep(DRAIN_LOOK)).await;
+    while clients.owes() && Instant::now() < last {
+        accept_until(&listener, &clients, sleep(DRAIN_LOOK)).await;
     }
     Ok(())
 }
 
-async fn accept_until(listener: &TcpListener, callers: &Rc<Callers>, until: impl Future<Output = ()>) {
+async fn accept_until(listener: &TcpListener, clients: &Rc<Clients>, until: impl Future<Output = ()>) {
     let mut until = pin!(until);
     let mut logged: Option<Instant> = None;
     loop {
         tokio::select! {
             biased;
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => callers.accept(stream),
+                Ok((stream, _)) => clients.accept(stream),
                 Err(error) => {
                     // Out of descriptors, most likely: the loop goes on with one given up.
                     // At most a line a second, or the log would cost more than the trouble.
@@ -288,7 +288,7 @@
                         crate::log(format_args!("a connection could not be accepted: {error}"));
                         logged = Some(Instant::now());
                     }
-                    callers.make_room();
+                    clients.make_room();
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -297,27 +297,27 @@
     }
 }
 
-async fn connection(callers: &Rc<Callers>, stream: TcpStream, link: &Rc<Link>) {
+async fn connection(clients: &Rc<Clients>, stream: TcpStream, link: &Rc<Link>) {
     // Without it answers would wait for acknowledgements; one that can't be set is no reason to hang up.
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
     let service = service_fn(|request| {
-        let (driver, stream) = (&callers.driver, Rc::clone(&stream));
+        let (driver, stream) = (&clients.driver, Rc::clone(&stream));
         // What it began with tells when it must be whole.
         let begun = link.unread.since().filter(|_| link.used.get()).unwrap_or(link.since.get());
         let sound = link.unread.take_request();
         link.busy.set(true);
         link.used.set(true);
         async move {
-            // Its attempt wants a socket too, which callers that only stand by must not keep from it.
-            if driver.crowded() {
-                callers.make_room();
+            // Its attempt wants a socket too, which clients that only stand by must not keep from it.
+            if driver.short_of_sockets() {
+                clients.make_room();
             }
             let mut response =
-                respond(callers, request, sound, begun + BODY_WITHIN, &link.unread, &stream).await;
+                respond(clients, request, sound, begun + BODY_WITHIN, &link.unread, &stream).await;
             link.busy.set(false);
             link.since.set(Instant::now());
-            if *callers.phases.borrow() != Phase::Serving || driver.full() {
+            if *clients.phases.borrow() != Phase::Serving || driver.full() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -326,9 +326,9 @@
     let mut server = http1::Builder::new();
     // The time for a head is kept below, as it depends on what came before.
     server.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(HEAD_MOST);
-    let screened = Screened::new(Rc::clone(&stream), Rc::clone(&link.unread));
-    let mut served = pin!(server.serve_connection(TokioIo::new(screened), service));
-    let mut phases = callers.phases.clone();
+    let inspected = InspectedStream::new(Rc::clone(&stream), Rc::clone(&link.unread));
+    let mut served = pin!(server.serve_connection(TokioIo::new(inspected), service));
+    let mut phases = clients.phases.clone();
     let closing = async {
         tokio::select! {
             // An error means that the program is ending.
@@ -377,12 +377,12 @@
     linger(&stream, link).await;
 }
 
-/// Whether the system holds bytes of the caller's that nobody has read.
+/// Whether the system holds bytes of the client's that nobody has read.
 fn has_unread(stream: &TcpStream) -> bool {
     SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
 }
 
-/// Ends a connection and waits for the caller to do so too. What comes until then is no request any more: a caller
+/// Ends a connection and waits for the client to do so too. What comes until then is no request any more: a client
 /// whose request crosses the end sends it once more elsewhere.
 async fn linger(stream: &TcpStream, link: &Link) {
     let _ = SockRef::from(stream).shutdown(Shutdown::Write);
@@ -423,7 +423,7 @@
     }
 }
 
-/// What is wrong with a caller's request.
+/// What is wrong with a client's request.
 #[derive(Debug, Error, PartialEq, Eq)]
 enum BadRequest {
     #[error("no such class")]
@@ -469,14 +469,14 @@
 }
 
 async fn respond(
-    callers: &Callers,
+    clients: &Clients,
     request: Request<Incoming>,
     sound: Result<(), Ambiguous>,
     whole_by: Instant,
     unread: &Unread,
     stream: &TcpStream,
 ) -> Response<Full<Bytes>> {
-    let driver = &callers.driver;
+    let driver = &clients.driver;
     if request.uri().path() == "/_health" {
         let status = if driver.can_serve() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return plain(status, "");
@@ -489,11 +489,11 @@
         if unread.is_noise() {
             return Err(BadRequest::Noise);
         }
-        // No socket is left for an attempt either, or no connection for callers; nothing has run.
-        if driver.full() || callers.spares_none() {
+        // No socket is left for an attempt either, or no connection for clients; nothing has run.
+        if driver.full() || clients.lacks_idle() {
             return Ok(Answer::Refused { retry_after: driver.retry_after() });
         }
-        answer(callers, taken, unread.left(stream)).await.ok_or(BadRequest::Open)
+        answer(clients, taken, unread.left(stream)).await.ok_or(BadRequest::Open)
     };
     let (mut response, closes) = match answer.await {
         Ok(answer) => (final_answer(answer), chunked),
@@ -526,7 +526,7 @@
     response
 }
 
-/// Tells the driver of a caller that leaves before its answer: the connection drops this with the request.
+/// Tells the driver of a client that leaves before its answer: the connection drops this with the request.
 struct Waiting {
     driver: Rc<Driver>,
     id: RequestId,
@@ -534,14 +534,14 @@
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        self.driver.caller_left(self.id);
+        self.driver.client_left(self.id);
     }
 }
 
 /// Has the request answered; `None` if one with its id is open.
-async fn answer(callers: &Callers, taken: Taken, left: impl Future<Output = ()>) -> Option<Answer> {
-    let driver = &callers.driver;
-    let mut phases = callers.phases.clone();
+async fn answer(clients: &Clients, taken: Taken, left: impl Future<Output = ()>) -> Option<Answer> {
+    let driver = &clients.driver;
+    let mut phases = clients.phases.clone();
     let overdue = taken.deadline + LAST_WORD;
     let (id, answer) = driver.take(taken)?;
     let waiting = Waiting { driver: Rc::clone(driver), id };
@@ -567,7 +567,7 @@
     headers.get(name).filter(|value| !value.is_empty()).cloned()
 }
 
-/// Seconds as a caller writes them.
+/// Seconds as a client writes them.
 fn seconds(value: &str) -> Option<Duration> {
     value.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
 }
@@ -593,7 +593,7 @@
         None if names.tenants.is_empty() => None,
         None => return Err(BadRequest::Tenant),
     };
-    // A caller that does not say how long it waits is held to wait as long as its class allows.
+    // A client that does not say how long it waits is held to wait as long as its class allows.
     let time = match head.headers.get("x-deadline") {
         Some(value) => value.to_str().ok().and_then(seconds).ok_or(BadRequest::Deadline)?,
         None => figures.deadline,
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -216,7 +216,7 @@
     }
 }
 
-/// What of a caller's request goes on to upstreams, the same in each attempt.
+/// What of a client's request goes on to upstreams, the same in each attempt.
 #[derive(Debug)]
 pub struct Call {
     /// The method.
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -12,10 +12,10 @@
 fn an_answer_passes_through_and_the_connection_is_kept() {
     let upstream = Upstream::start(|number, _| ok(&format!("quote {number}")));
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    let mut caller = balancer.caller();
+    let mut client = balancer.client();
     for number in 0..3 {
-        caller.send_as(&format!("id-{number}"), "pay", "instalments");
-        let answer = caller.answer().expect("an answer");
+        client.send_as(&format!("id-{number}"), "pay", "instalments");
+        let answer = client.answer().expect("an answer");
         assert_eq!((answer.status(), answer.body), (200, format!("quote {number}").into_bytes()));
     }
     let requests = upstream.requests();
@@ -31,7 +31,7 @@
     }
 }
 
-/// Guards against an upstream's own 503 reaching the caller: it may have run, and a refusal would say that it
+/// Guards against an upstream's own 503 reaching the client: it may have run, and a refusal would say that it
 /// did not.
 #[test]
 fn a_503_without_the_mark_is_a_failure() {
@@ -40,7 +40,7 @@
     {
         let upstream = Upstream::start(move |_, _| status(line));
         let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-        let answer = balancer.caller().ask("order", "one");
+        let answer = balancer.client().ask("order", "one");
         assert_eq!(answer.status(), 502, "{line}");
         assert_eq!(upstream.requests().len(), 1, "an unsafe request that may have run went out again");
     }
@@ -54,7 +54,7 @@
     let (first, second) = (full(), full());
     let known = [endpoint("s-1", first.address, 0, "ready"), endpoint("s-2", second.address, 1, "ready")];
     let (balancer, _discovery) = Balancer::with(&known, 30.0);
-    let answer = balancer.caller().ask("order", "one");
+    let answer = balancer.client().ask("order", "one");
     assert_eq!(answer.status(), 503);
     assert_eq!(answer.header("retry-after"), Some("1.500"));
     assert_eq!((first.requests().len(), second.requests().len()), (1, 1));
@@ -67,10 +67,10 @@
     let known = [endpoint("s-1", dead_address(), 0, "ready"), endpoint("s-2", upstream.address, 1, "ready")];
     let (balancer, _discovery) = Balancer::with(&known, 30.0);
     for _ in 0..4 {
-        assert_eq!(balancer.caller().ask("order", "one").status(), 200);
+        assert_eq!(balancer.client().ask("order", "one").status(), 200);
     }
     let (alone, _discovery) = Balancer::with(&[endpoint("s-1", dead_address(), 0, "ready")], 30.0);
-    assert_eq!(alone.caller().ask("order", "one").status(), 503);
+    assert_eq!(alone.client().ask("order", "one").status(), 503);
 }
 
 /// Guards against a resend that nobody decided on, and against a refusal for what may have run: once the last
@@ -96,14 +96,14 @@
             _ => Reply::Last(part.as_bytes().to_vec()),
         });
         let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-        let mut caller = balancer.caller();
-        assert_eq!(caller.ask("order", "one").status(), 200);
-        assert_eq!(caller.ask("order", "two").status(), 502, "{part:?}");
+        let mut client = balancer.client();
+        assert_eq!(client.ask("order", "one").status(), 200);
+        assert_eq!(client.ask("order", "two").status(), 502, "{part:?}");
         assert_eq!(upstream.requests().len(), 2, "{part:?}: it was sent again");
     }
 }
 
-/// Guards callers against a part of an answer: one that is reset on the way is not whole, though it has no length and
+/// Guards clients against a part of an answer: one that is reset on the way is not whole, though it has no length and
 /// so might end anywhere. It may have run: what must not run twice is failed, what may is sent elsewhere.
 #[test]
 fn a_reset_is_no_end_of_an_answer() {
@@ -121,9 +121,9 @@
                 [endpoint("s-1", first.address, 0, "ready"), endpoint("s-2", second.address, 0, "ready")];
             let (balancer, _discovery) = Balancer::with(&known, 30.0);
             let seen = || first.requests().len() + second.requests().len();
-            assert_eq!(balancer.caller().ask("order", "one").status(), 502, "{part:?}");
+            assert_eq!(balancer.client().ask("order", "one").status(), 502, "{part:?}");
             assert_eq!(seen(), 1, "{part:?}: it was sent again");
-            let refused = balancer.caller().ask("read", "");
+            let refused = balancer.client().ask("read", "");
             assert_eq!((refused.status(), seen()), (503, 3), "{part:?}: it may be repeated");
         }
     }
@@ -140,7 +140,7 @@
         endpoint("s-3", other.address, 5, "ready"),
     ];
     let (balancer, _discovery) = Balancer::with(&known, 30.0);
-    assert_eq!(balancer.caller().ask("pay", "one").status(), 502);
+    assert_eq!(balancer.client().ask("pay", "one").status(), 502);
     let seen = [first.requests().len() + same.requests().len(), other.requests().len()];
     assert!(seen == [2, 0] || seen == [0, 1], "{seen:?}");
 }
@@ -150,70 +150,70 @@
 fn a_time_out_closes_its_connection() {
     let upstream = Upstream::start(|number, _| if number == 0 { Reply::Silence } else { ok("late") });
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 0.3);
-    let mut caller = balancer.caller();
-    assert_eq!(caller.ask("order", "one").status(), 502);
+    let mut client = balancer.client();
+    assert_eq!(client.ask("order", "one").status(), 502);
     upstream.wait_closed(1);
     assert_eq!(upstream.requests().len(), 1);
 }
 
-/// Guards against a caller's short patience being taken for the class's long one.
+/// Guards against a client's short patience being taken for the class's long one.
 #[test]
-fn the_answer_does_not_outlast_the_callers_deadline() {
+fn the_answer_does_not_outlast_the_clients_deadline() {
     let upstream = Upstream::start(|_, _| Reply::Silence);
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 59.0);
-    let mut caller = balancer.caller();
-    caller.raw(
+    let mut client = balancer.client();
+    client.raw(
         b"GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\nX-Deadline: 0.2\r\n\r\n",
     );
-    let status = caller.answer().expect("an answer long before the class's deadline").status();
+    let status = client.answer().expect("an answer long before the class's deadline").status();
     assert!(status == 502 || status == 503, "{status}");
     upstream.wait_closed(1);
 }
 
-/// Guards against work for nobody: a caller that leaves takes its attempt along.
+/// Guards against work for nobody: a client that leaves takes its attempt along.
 #[test]
-fn a_caller_that_leaves_stops_its_attempt() {
+fn a_client_that_leaves_stops_its_attempt() {
     let upstream = Upstream::start(|_, _| Reply::Silence);
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-    let mut caller = balancer.caller();
-    caller.send("order", "one");
+    let mut client = balancer.client();
+    client.send("order", "one");
     upstream.wait_requests(1);
-    caller.0.shutdown(Shutdown::Both).expect("closed");
+    client.0.shutdown(Shutdown::Both).expect("closed");
     upstream.wait_closed(1);
     assert_eq!(upstream.requests().len(), 1);
 }
 
-/// Guards the same where a caller's connection is reset, before the request's attempt is out or after, with nothing or
+/// Guards the same where a client's connection is reset, before the request's attempt is out or after, with nothing or
 /// with bytes behind the request.
 #[test]
-fn a_caller_whose_connection_is_reset_has_left() {
+fn a_client_whose_connection_is_reset_has_left() {
     for behind in ["", "GET /re"] {
         let upstream = Upstream::start(|_, _| Reply::Silence);
         let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-        let mut caller = balancer.caller();
-        caller.send_as("mine", "order", "one");
-        caller.raw(behind.as_bytes());
+        let mut client = balancer.client();
+        client.send_as("mine", "order", "one");
+        client.raw(behind.as_bytes());
         upstream.wait_requests(1);
-        reset(caller.0);
+        reset(client.0);
         upstream.wait_closed(1);
         assert_eq!(upstream.requests().len(), 1);
     }
     let (listener, filling) = full_listener();
     let (balancer, _discovery) =
         Balancer::with(&[endpoint("s-1", listener.local_addr().expect("bound"), 0, "ready")], 50.0);
-    let mut caller = balancer.caller();
-    caller.send_as("mine", "order", "left");
+    let mut client = balancer.client();
+    client.send_as("mine", "order", "left");
     balancer.catches_up();
-    reset(caller.0);
+    reset(client.0);
     // Its id is free again once the balancer has seen it.
     let mut stays = wait_for("the id is free", || {
-        let mut caller = balancer.caller();
-        caller.send_as("mine", "order", "stays");
+        let mut client = balancer.client();
+        client.send_as("mine", "order", "stays");
         balancer.catches_up();
-        caller.0.set_nonblocking(true).expect("set");
-        let open = caller.0.peek(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
-        caller.0.set_nonblocking(false).expect("set");
-        open.then_some(caller)
+        client.0.set_nonblocking(true).expect("set");
+        let open = client.0.peek(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+        client.0.set_nonblocking(false).expect("set");
+        open.then_some(client)
     });
     drop(filling);
     let upstream = Upstream::on(listener, |_, _| ok("served"));
@@ -229,9 +229,9 @@
         Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok".to_vec())
     });
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    let mut caller = balancer.caller();
+    let mut client = balancer.client();
     for served in 1..=4 {
-        assert_eq!(caller.ask("order", "one").status(), 200);
+        assert_eq!(client.ask("order", "one").status(), 200);
         assert_eq!((upstream.requests().len(), upstream.connections()), (served, served));
     }
 }
@@ -256,14 +256,14 @@
             )
         });
         let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-        let mut caller = balancer.caller();
+        let mut client = balancer.client();
         for number in 0..20 {
-            assert_eq!(caller.ask("order", "x").body, format!("answer {number}").into_bytes(), "{behind:?}");
+            assert_eq!(client.ask("order", "x").body, format!("answer {number}").into_bytes(), "{behind:?}");
         }
     }
 }
 
-/// Guards time and memory against answers that have no end: each is given up long before the caller is, and its
+/// Guards time and memory against answers that have no end: each is given up long before the client is, and its
 /// connection closed at once.
 #[test]
 fn an_answer_without_end_is_given_up() {
@@ -274,30 +274,30 @@
         let shared = endless.clone();
         let upstream = Upstream::start(move |_, _| Reply::Bytes(shared.clone().into_bytes()));
         let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 59.0);
-        assert_eq!(balancer.caller().ask("order", "one").status(), 502, "{:.40}", endless);
+        assert_eq!(balancer.client().ask("order", "one").status(), 502, "{:.40}", endless);
         upstream.wait_closed(1);
     }
 }
 
-/// Guards memory and the caller against an answer past the limit of the protocol.
+/// Guards memory and the client against an answer past the limit of the protocol.
 #[test]
 fn an_oversized_answer_is_a_failure() {
     let upstream = Upstream::start(|_, _| ok(&"x".repeat(65 * 1024)));
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    assert_eq!(balancer.caller().ask("order", "one").status(), 502);
+    assert_eq!(balancer.client().ask("order", "one").status(), 502);
 }
 
-/// Found on r7909: 30 ms taken off a caller's time in each tier left nothing of the time of callers in haste, and
+/// Found on r7909: 30 ms taken off a client's time in each tier left nothing of the time of clients with short deadlines, and
 /// their calls were refused unsent below the first tier.
 #[test]
 fn a_call_with_little_time_left_is_still_sent() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 0.5);
-    let mut caller = balancer.caller();
+    let mut client = balancer.client();
     // One may be held up on a busy machine; of many one gets through, or none ever does.
-    wait_for("a call in haste is sent", || {
-        caller.send_within(0.03, "read");
-        caller.answer().expect("an answer in any case");
+    wait_for("a call with a short deadline is sent", || {
+        client.send_within(0.03, "read");
+        client.answer().expect("an answer in any case");
         (!upstream.requests().is_empty()).then_some(())
     });
 }
@@ -310,15 +310,15 @@
     without
 }
 
-/// Guards against work for nobody where a caller has left while its request waited for a connection: it does not
-/// go out when that comes up, whatever the settings allow. One whose caller is still there does.
+/// Guards against work for nobody where a client has left while its request waited for a connection: it does not
+/// go out when that comes up, whatever the settings allow. One whose client is still there does.
 #[test]
-fn a_connection_that_comes_up_late_carries_nothing_for_a_caller_that_has_left() {
+fn a_connection_that_comes_up_late_carries_nothing_for_a_client_that_has_left() {
     let (listener, filling) = full_listener();
     let known = [endpoint("s-1", listener.local_addr().expect("bound"), 0, "ready")];
     let discovery = Discovery::start();
     let balancer = Balancer::start(&without_cancel(&discovery, &known));
-    let (mut leaves, mut stays) = (balancer.caller(), balancer.caller());
+    let (mut leaves, mut stays) = (balancer.client(), balancer.client());
     leaves.send_as("mine", "order", "leaves");
     balancer.catches_up();
     drop(leaves);
@@ -336,10 +336,10 @@
     assert_eq!(bodies, [b"stays"]);
 }
 
-/// Guards the same for a request that waits for another attempt: the first ends after the caller has gone, in a
+/// Guards the same for a request that waits for another attempt: the first ends after the client has gone, in a
 /// way in which it would be sent again.
 #[test]
-fn an_attempt_that_fails_after_the_caller_has_left_is_the_last() {
+fn an_attempt_that_fails_after_the_client_has_left_is_the_last() {
     let (fail, failing) = std::sync::mpsc::channel::<()>();
     let failing = std::sync::Mutex::new(failing);
     let script = move |_: usize, message: &Message| {
@@ -363,15 +363,15 @@
     let discovery = Discovery::start();
     let balancer = Balancer::start(&without_cancel(&discovery, &known));
     let seen = || upstreams.iter().map(|upstream| upstream.requests().len()).sum::<usize>();
-    // One whose caller stays is sent to the other.
-    let mut stays = balancer.caller();
+    // One whose client stays is sent to the other.
+    let mut stays = balancer.client();
     stays.send("read", "");
     wait_for("the first attempt", || (seen() == 1).then_some(()));
     fail.send(()).expect("an upstream waits");
     wait_for("the second attempt", || (seen() == 2).then_some(()));
     fail.send(()).expect("an upstream waits");
     assert_eq!(stays.answer().expect("an answer").status(), 503);
-    let mut leaves = balancer.caller();
+    let mut leaves = balancer.client();
     leaves.send("read", "");
     wait_for("the first attempt", || (seen() == 3).then_some(()));
     drop(leaves);
@@ -384,27 +384,27 @@
     }
 }
 
-/// Guards against a caller that leaves unseen: hyper listens no more once something has come behind the request,
+/// Guards against a client that leaves unseen: hyper listens no more once something has come behind the request,
 /// be it a part of a next one, a whole one, or more than is kept of it, together with the request or later.
 #[test]
-fn a_caller_is_seen_to_leave_behind_what_it_sent_ahead() {
+fn a_client_is_seen_to_leave_behind_what_it_sent_ahead() {
     let whole = "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: next\r\nX-Tenant: acme\r\n\r\n";
     for behind in ["GET /re".to_owned(), whole.to_owned(), format!("GET /{}", "x".repeat(1 << 20))] {
         for together in [true, false] {
             let upstream = Upstream::start(|_, _| Reply::Silence);
             let (balancer, _discovery) =
                 Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-            let mut caller = balancer.caller();
+            let mut client = balancer.client();
             let request = "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\n\r\n";
             if together {
-                caller.raw([request, &behind].concat().as_bytes());
+                client.raw([request, &behind].concat().as_bytes());
             } else {
-                caller.raw(request.as_bytes());
+                client.raw(request.as_bytes());
                 upstream.wait_requests(1);
-                caller.raw(behind.as_bytes());
+                client.raw(behind.as_bytes());
             }
             upstream.wait_requests(1);
-            drop(caller);
+            drop(client);
             upstream.wait_closed(1);
             assert_eq!(upstream.requests().len(), 1, "{behind:.20}, together: {together}");
         }
@@ -424,25 +424,25 @@
         ok(std::str::from_utf8(&message.body).expect("text"))
     });
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-    let mut caller = balancer.caller();
-    caller.send("order", "held");
+    let mut client = balancer.client();
+    client.send("order", "held");
     upstream.wait_requests(1);
-    caller.send("order", "second");
+    client.send("order", "second");
     balancer.catches_up();
-    caller.send("order", "third");
+    client.send("order", "third");
     balancer.catches_up();
     release.send(()).expect("the upstream waits");
     for body in [&b"held"[..], b"second", b"third"] {
-        assert_eq!(caller.answer().expect("an answer").body, body);
+        assert_eq!(client.answer().expect("an answer").body, body);
     }
-    caller.send("order", "held");
+    client.send("order", "held");
     upstream.wait_requests(4);
-    caller.raw(format!("GET /read?{} HTTP/1.1\r\n\r\n", "x".repeat(1 << 18)).as_bytes());
+    client.raw(format!("GET /read?{} HTTP/1.1\r\n\r\n", "x".repeat(1 << 18)).as_bytes());
     balancer.catches_up();
     release.send(()).expect("the upstream waits");
-    let answer = caller.answer().expect("an answer");
+    let answer = client.answer().expect("an answer");
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
-    assert!(caller.answer().is_none());
+    assert!(client.answer().is_none());
 }
 
 /// Guards short windows for repeats: what may have run goes out again within the window only, and does not wait for a
@@ -469,8 +469,8 @@
         assert!(text.contains(window) && text.contains("60.0"));
         let balancer = Balancer::start(&text);
         let (_, watch) = discovery.watch();
-        let mut caller = balancer.caller();
-        caller.send("pay", "one");
+        let mut client = balancer.client();
+        client.send("pay", "one");
         first.wait_requests(1);
         watch.says(8, false, &[endpoint("s-2", second, 0, "ready")]);
         watch.end();
@@ -478,15 +478,15 @@
         assert_eq!(line, "GET /catalog/members?follow=1&since=8 HTTP/1.1");
         release.send(()).expect("the upstream waits");
         if late {
-            // Its time and the one for connecting are longer than the caller of this test waits.
-            assert_eq!(caller.answer().expect("an answer").status(), 502);
+            // Its time and the one for connecting are longer than the client of this test waits.
+            assert_eq!(client.answer().expect("an answer").status(), 502);
         }
         drop(filling);
         let second = Upstream::on(listener, |_, _| ok("served"));
         if !late {
-            assert_eq!(caller.answer().expect("an answer").status(), 200);
+            assert_eq!(client.answer().expect("an answer").status(), 200);
         }
-        assert_eq!(balancer.caller().ask("order", "last").status(), 200);
+        assert_eq!(balancer.client().ask("order", "last").status(), 200);
         let repeats = second.requests().iter().filter(|(_, request)| request.line.contains("/pay")).count();
         assert_eq!(repeats, usize::from(!late));
     }
@@ -506,8 +506,8 @@
     assert_ne!(text, patient);
     let balancer = Balancer::start(&patient);
     let (_, watch) = discovery.watch();
-    let mut caller = balancer.caller();
-    caller.send("order", "one");
+    let mut client = balancer.client();
+    client.send("order", "one");
     balancer.catches_up();
     watch.says(
         8,
@@ -515,16 +515,16 @@
         &[endpoint("s-1", draining, 0, "draining"), endpoint("s-2", other.address, 1, "ready")],
     );
     // The attempt is ended with the drain; it waits neither for the connection nor for its time, which is longer than
-    // the caller of this test waits.
-    assert_eq!(caller.answer().expect("an answer").body, b"other");
+    // the client of this test waits.
+    assert_eq!(client.answer().expect("an answer").body, b"other");
     assert_eq!(
-        wait_for("the drain", || Some(balancer.caller().ask("read", ""))
+        wait_for("the drain", || Some(balancer.client().ask("read", ""))
             .filter(|answer| answer.status() == 200))
         .body,
         b"other"
     );
     drop(filling);
     let drained = Upstream::on(listener, |_, _| ok("drained"));
-    assert_eq!(caller.ask("read", "").body, b"other");
+    assert_eq!(client.ask("read", "").body, b"other");
     assert!(drained.requests().is_empty());
 }
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/clients.rs
@@ -1,4 +1,4 @@
-//! Callers: what they may send, how many there may be, and how the program ends.
+//! Clients: what they may send, how many there may be, and how the program ends.
 
 mod common;
 
@@ -8,7 +8,7 @@
 use common::*;
 use socket2::{Domain, Socket, Type};
 
-/// Guards the decisions against what they can't take, and the caller against silence.
+/// Guards the decisions against what they can't take, and the client against silence.
 #[test]
 fn a_bad_request_is_told_so_and_harms_nobody() {
     let upstream = Upstream::start(|_, _| ok("served"));
@@ -33,9 +33,9 @@
         ("", "", 200),
     ];
     for (from, to, status) in cases {
-        let mut caller = balancer.caller();
-        caller.raw(good.replacen(from, to, 1).as_bytes());
-        assert_eq!(caller.answer().expect("an answer").status(), status, "{from:?} as {to:?}");
+        let mut client = balancer.client();
+        client.raw(good.replacen(from, to, 1).as_bytes());
+        assert_eq!(client.answer().expect("an answer").status(), status, "{from:?} as {to:?}");
     }
     for (_, request) in upstream.requests() {
         assert_eq!(request.line, "GET /read HTTP/1.1");
@@ -67,24 +67,24 @@
         ("X-Nothing: 0\r\n".to_owned(), "abcdefg".to_owned()),
         (chunked.clone(), format!("zz\r\nabc\r\n{hidden}")),
     ] {
-        let mut caller = balancer.caller();
-        caller.raw(
+        let mut client = balancer.client();
+        client.raw(
             format!(
                 "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: o\r\nX-Tenant: acme\r\n{lengths}\r\n{body}"
             )
             .as_bytes(),
         );
-        assert_eq!(caller.answer().expect("an answer").status(), 400, "{lengths:?}");
-        assert!(caller.answer().is_none(), "{lengths:?}: what was hidden is answered");
+        assert_eq!(client.answer().expect("an answer").status(), 400, "{lengths:?}");
+        assert!(client.answer().is_none(), "{lengths:?}: what was hidden is answered");
     }
     assert_eq!(upstream.requests().len(), 0);
     // A body in chunks with nothing behind it is sound.
-    let mut caller = balancer.caller();
-    caller.raw(
+    let mut client = balancer.client();
+    client.raw(
         b"POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: o\r\nX-Tenant: acme\r\nTransfer-Encoding: chunked\r\n\r\n\
           3\r\nabc\r\n0\r\n\r\n",
     );
-    assert_eq!(caller.answer().expect("an answer").status(), 200);
+    assert_eq!(client.answer().expect("an answer").status(), 200);
     assert_eq!(upstream.requests()[0].1.body, b"abc");
 }
 
@@ -93,10 +93,10 @@
 fn an_id_that_is_open_is_not_taken_again() {
     let upstream = Upstream::start(|number, _| if number == 0 { Reply::Silence } else { ok("served") });
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    let mut first = balancer.caller();
+    let mut first = balancer.client();
     first.send_as("mine", "order", "one");
     upstream.wait_requests(1);
-    let mut second = balancer.caller();
+    let mut second = balancer.client();
     second.send_as("mine", "order", "one");
     assert_eq!(second.answer().expect("an answer").status(), 409);
     assert_eq!(upstream.requests().len(), 1);
@@ -109,38 +109,38 @@
     });
 }
 
-/// Guards sockets against callers that never come to the end of a request, or stay after one: each gets an
+/// Guards sockets against clients that never come to the end of a request, or stay after one: each gets an
 /// error or a close by itself, and one that stays gets it later than one that is silent from the start.
 #[test]
-fn a_caller_without_a_whole_request_is_hung_up_on() {
+fn a_client_without_a_whole_request_is_hung_up_on() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    let mut stays = balancer.caller();
+    let mut stays = balancer.client();
     assert_eq!(stays.ask("order", "one").status(), 200);
-    let mut next = balancer.caller();
+    let mut next = balancer.client();
     assert_eq!(next.ask("order", "one").status(), 200);
     next.raw(b"POST /order HTTP/1.1\r\nHos");
     for begun in ["", "POST /ord", "POST /order HTTP/1.1\r\nHost: a\r\nX-Fill: "] {
-        let mut caller = balancer.caller();
-        caller.raw(begun.as_bytes());
-        assert!(caller.answer().is_none(), "{begun:?}");
+        let mut client = balancer.client();
+        client.raw(begun.as_bytes());
+        assert!(client.answer().is_none(), "{begun:?}");
     }
     assert!(next.answer().is_none() && stays.answer().is_none());
     for (length, status) in [(100, 408), (60_000_000, 413)] {
-        let mut caller = balancer.caller();
-        caller.raw(
+        let mut client = balancer.client();
+        client.raw(
             format!(
                 "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: o\r\nX-Tenant: acme\r\n\
                  Content-Length: {length}\r\n\r\nabc"
             )
             .as_bytes(),
         );
-        assert_eq!(caller.answer().expect("an answer").status(), status);
-        assert!(caller.answer().is_none());
+        assert_eq!(client.answer().expect("an answer").status(), status);
+        assert!(client.answer().is_none());
     }
-    let mut caller = balancer.caller();
-    let _ = caller.0.write_all(format!("GET /read HTTP/1.1\r\nX-Fill: {}", "x".repeat(40_000)).as_bytes());
-    assert!(caller.answer().is_none_or(|answer| answer.status() == 431));
+    let mut client = balancer.client();
+    let _ = client.0.write_all(format!("GET /read HTTP/1.1\r\nX-Fill: {}", "x".repeat(40_000)).as_bytes());
+    assert!(client.answer().is_none_or(|answer| answer.status() == 431));
     assert_eq!(upstream.requests().len(), 2);
 }
 
@@ -156,88 +156,88 @@
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(4096).expect("set");
     socket.connect(&balancer.address.into()).expect("accepted");
-    let mut caller = Caller(socket.into());
-    caller.0.set_read_timeout(Some(LONG)).expect("set");
+    let mut client = Client(socket.into());
+    client.0.set_read_timeout(Some(LONG)).expect("set");
     // Where a body comes in chunks its connection ends with the answer.
-    caller.raw(
+    client.raw(
         b"POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: o\r\nX-Tenant: acme\r\nTransfer-Encoding: chunked\r\n\r\n\
           0\r\n\r\n",
     );
-    assert_eq!(caller.0.peek(&mut [0]).expect("an answer begins"), 1);
+    assert_eq!(client.0.peek(&mut [0]).expect("an answer begins"), 1);
     balancer.catches_up();
-    caller.raw(b"GET /read HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.raw(b"GET /read HTTP/1.1\r\nHost: a\r\n\r\n");
     balancer.catches_up();
-    let answer = caller.answer().expect("a whole answer");
+    let answer = client.answer().expect("a whole answer");
     assert_eq!((answer.status(), answer.body.len()), (200, body.len()));
-    assert!(caller.answer().is_none());
+    assert!(client.answer().is_none());
     assert_eq!(upstream.requests().len(), 1);
 }
 
-/// Guards callers that rest until the balancer ends their connection and send just then: what comes behind the end is
+/// Guards clients that rest until the balancer ends their connection and send just then: what comes behind the end is
 /// not sent on, as no answer could reach them; they send it once more elsewhere.
 #[test]
 fn a_request_behind_the_end_of_its_connection_is_not_sent_on() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    let mut caller = balancer.caller();
-    assert_eq!(caller.ask("order", "one").status(), 200);
-    assert!(caller.answer().is_none(), "it rests until it is ended");
-    caller.send_as("late", "order", "late");
-    assert!(caller.answer().is_none());
-    let _ = caller.0.shutdown(std::net::Shutdown::Write);
-    let mut next = balancer.caller();
+    let mut client = balancer.client();
+    assert_eq!(client.ask("order", "one").status(), 200);
+    assert!(client.answer().is_none(), "it rests until it is ended");
+    client.send_as("late", "order", "late");
+    assert!(client.answer().is_none());
+    let _ = client.0.shutdown(std::net::Shutdown::Write);
+    let mut next = balancer.client();
     next.send_as("late", "order", "again");
     assert_eq!(next.answer().expect("an answer").status(), 200);
     let bodies: Vec<_> = upstream.requests().into_iter().map(|(_, request)| request.body).collect();
     assert_eq!(bodies, [&b"one"[..], b"again"]);
 }
 
-/// Guards the descriptor limit: idle callers give way to new ones, and nobody is left waiting.
+/// Guards the descriptor limit: idle clients give way to new ones, and nobody is left waiting.
 #[test]
-fn idle_callers_give_way_when_sockets_run_out() {
+fn idle_clients_give_way_when_sockets_run_out() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let discovery = Discovery::start();
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let balancer = Balancer::start(&configuration(discovery.address, &known, 30.0, 48));
-    let mut callers: Vec<Caller> = (0..100)
+    let mut clients: Vec<Client> = (0..100)
         .map(|_| {
-            let mut caller = balancer.caller();
-            assert_eq!(caller.ask("order", "one").status(), 200);
-            caller
+            let mut client = balancer.client();
+            assert_eq!(client.ask("order", "one").status(), 200);
+            client
         })
         .collect();
     // The first have been closed in favour of the last.
-    assert!(callers.remove(0).answer().is_none());
+    assert!(clients.remove(0).answer().is_none());
     assert_eq!(upstream.requests().len(), 100);
 }
 
-/// Guards callers whose next request is coming in, when others must give way: one that is idle goes instead.
+/// Guards clients whose next request is coming in, when others must give way: one that is idle goes instead.
 #[test]
-fn a_caller_whose_request_is_coming_in_does_not_give_way() {
+fn a_client_whose_request_is_coming_in_does_not_give_way() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let discovery = Discovery::start();
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let balancer = Balancer::start(&configuration(discovery.address, &known, 30.0, 48));
-    let mut first = balancer.caller();
+    let mut first = balancer.client();
     assert_eq!(first.ask("order", "one").status(), 200);
     first.raw(b"POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n");
-    let mut second = balancer.caller();
+    let mut second = balancer.client();
     assert_eq!(second.ask("order", "one").status(), 200);
     second.0.set_nonblocking(true).expect("set");
     let mut others = Vec::new();
-    wait_for("an idle caller gives way", || {
-        let mut caller = balancer.caller();
-        assert_eq!(caller.ask("order", "one").status(), 200);
-        others.push(caller);
+    wait_for("an idle client gives way", || {
+        let mut client = balancer.client();
+        assert_eq!(client.ask("order", "one").status(), 200);
+        others.push(client);
         second.0.peek(&mut [0]).is_ok_and(|bytes| bytes == 0).then_some(())
     });
     first.raw(b"X-Tenant: acme\r\n\r\n");
     assert_eq!(first.answer().expect("it did not give way").status(), 200);
 }
 
-/// Guards callers that were served just now, when sockets run short: idle connections to upstreams go first.
+/// Guards clients that were served just now, when sockets run short: idle connections to upstreams go first.
 #[test]
-fn callers_in_use_outlast_idle_connections_to_upstreams() {
+fn clients_in_use_outlast_idle_connections_to_upstreams() {
     let (release, held) = std::sync::mpsc::channel::<()>();
     let held = std::sync::Mutex::new(held);
     let upstream = Upstream::start(move |_, message| {
@@ -249,34 +249,34 @@
     let discovery = Discovery::start();
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let balancer = Balancer::start(&configuration(discovery.address, &known, 30.0, 48));
-    let mut callers: Vec<Caller> = (0..8).map(|_| balancer.caller()).collect();
-    for caller in &mut callers {
-        caller.send("order", "held");
+    let mut clients: Vec<Client> = (0..8).map(|_| balancer.client()).collect();
+    for client in &mut clients {
+        client.send("order", "held");
     }
     upstream.wait_requests(8);
     drop(release);
-    for caller in &mut callers {
-        assert_eq!(caller.answer().expect("an answer").status(), 200);
+    for client in &mut clients {
+        assert_eq!(client.answer().expect("an answer").status(), 200);
     }
-    while callers.len() < 22 {
-        let mut caller = balancer.caller();
-        assert_eq!(caller.ask("order", "one").status(), 200);
-        callers.push(caller);
+    while clients.len() < 22 {
+        let mut client = balancer.client();
+        assert_eq!(client.ask("order", "one").status(), 200);
+        clients.push(client);
     }
     upstream.wait_closed(1);
-    assert_eq!(callers[0].ask("order", "one").status(), 200);
+    assert_eq!(clients[0].ask("order", "one").status(), 200);
 }
 
 /// Guards the same against connections that never carry a request.
 #[test]
-fn silent_callers_give_way_too() {
+fn silent_clients_give_way_too() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let discovery = Discovery::start();
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let balancer = Balancer::start(&configuration(discovery.address, &known, 30.0, 48));
-    let mut silent: Vec<Caller> = (0..60).map(|_| balancer.caller()).collect();
+    let mut silent: Vec<Client> = (0..60).map(|_| balancer.client()).collect();
     wait_for("an answer beside them", || {
-        (balancer.caller().ask("order", "one").status() == 200).then_some(())
+        (balancer.client().ask("order", "one").status() == 200).then_some(())
     });
     assert!(silent.remove(0).answer().is_none());
 }
@@ -286,37 +286,37 @@
 fn a_request_may_come_in_pieces() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    let mut caller = balancer.caller();
+    let mut client = balancer.client();
     let text = "POST /order?k=7f HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\n\
                 Content-Length: 11\r\n\r\ninstalments";
     for piece in text.as_bytes().chunks(13) {
         assert!(upstream.requests().is_empty());
-        caller.raw(piece);
+        client.raw(piece);
         std::thread::sleep(std::time::Duration::from_millis(1));
     }
-    assert_eq!(caller.answer().expect("an answer").status(), 200);
+    assert_eq!(client.answer().expect("an answer").status(), 200);
     assert_eq!(upstream.requests()[0].1.body, b"instalments");
 }
 
-/// Guards callers against waiting for a socket that does not come: with all busy, the rest are refused at
+/// Guards clients against waiting for a socket that does not come: with all busy, the rest are refused at
 /// once, and truly.
 #[test]
-fn busy_callers_beyond_the_budget_are_refused() {
+fn busy_clients_beyond_the_budget_are_refused() {
     let upstream = Upstream::start(|_, _| Reply::Silence);
     let discovery = Discovery::start();
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let balancer = Balancer::start(&configuration(discovery.address, &known, 50.0, 48));
     let mut waiting = Vec::new();
     let refused = wait_for("a refusal", || {
-        let mut caller = balancer.caller();
-        caller.send("order", "one");
-        caller.0.set_read_timeout(Some(std::time::Duration::from_millis(200))).expect("set");
-        let answered = caller.0.peek(&mut [0]).is_ok();
-        caller.0.set_read_timeout(Some(LONG)).expect("set");
+        let mut client = balancer.client();
+        client.send("order", "one");
+        client.0.set_read_timeout(Some(std::time::Duration::from_millis(200))).expect("set");
+        let answered = client.0.peek(&mut [0]).is_ok();
+        client.0.set_read_timeout(Some(LONG)).expect("set");
         if answered {
-            return caller.answer();
+            return client.answer();
         }
-        waiting.push(caller);
+        waiting.push(client);
         None
     });
     assert_eq!(refused.status(), 503);
@@ -324,7 +324,7 @@
 }
 
 /// Guards the accept loop against EMFILE: with fewer descriptors than the budget says, and nobody who reads
-/// the log of it, callers are still served, then as before.
+/// the log of it, clients are still served, then as before.
 #[test]
 fn running_out_of_descriptors_does_not_end_the_program() {
     let upstream = Upstream::start(|_, _| ok("served"));
@@ -333,24 +333,24 @@
     let mut child = program_within(32, &configuration(discovery.address, &known, 30.0, 1024));
     let (address, log) = address(&mut child);
     drop(log);
-    let crowd: Vec<Caller> = (0..80).map(|_| Caller::connect(address)).collect();
-    wait_for("an answer beside the crowd", || {
-        let mut caller = Caller::connect(address);
-        caller.send("order", "one");
-        caller.answer().filter(|answer| answer.status() == 200)
+    let many: Vec<Client> = (0..80).map(|_| Client::connect(address)).collect();
+    wait_for("an answer beside them", || {
+        let mut client = Client::connect(address);
+        client.send("order", "one");
+        client.answer().filter(|answer| answer.status() == 200)
     });
-    drop(crowd);
+    drop(many);
     wait_for("an answer after it", || {
-        let mut caller = Caller::connect(address);
-        caller.send("order", "one");
-        caller.answer().filter(|answer| answer.status() == 200)
+        let mut client = Client::connect(address);
+        client.send("order", "one");
+        client.answer().filter(|answer| answer.status() == 200)
     });
     assert!(child.try_wait().expect("known").is_none());
     child.kill().expect("it runs");
     child.wait().expect("ends");
 }
 
-/// Guards planned restarts: after SIGTERM callers are served on as long as there is time for answers, on the
+/// Guards planned restarts: after SIGTERM clients are served on as long as there is time for answers, on the
 /// connections that they have, too: they may have nowhere else to go. Then each connection is closed between
 /// requests, what was taken is finished, and the program ends by itself.
 #[test]
@@ -367,17 +367,17 @@
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let mut child = program(&configuration(discovery.address, &known, 30.0, 1024));
     let (address, _log) = address(&mut child);
-    let mut taken = Caller::connect(address);
+    let mut taken = Client::connect(address);
     taken.send("order", "one");
     upstream.wait_requests(1);
-    let mut idle = Caller::connect(address);
+    let mut idle = Client::connect(address);
     assert_eq!(idle.ask("order", "two").header("connection"), None);
     let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().expect("sent");
     assert!(killed.success());
     for _ in 0..10 {
         idle.send("order", "three");
         assert_eq!(idle.answer().expect("it is still open").status(), 200);
-        assert_eq!(Caller::connect(address).ask("order", "three").status(), 200);
+        assert_eq!(Client::connect(address).ask("order", "three").status(), 200);
         std::thread::sleep(std::time::Duration::from_millis(10));
     }
     // It is closed between requests, and the program waits for the one that is out.
@@ -406,10 +406,10 @@
         let file = configuration_file(&configuration(old.address, &known, 30.0, 1024));
         let mut child = command_within(1024, &file).spawn().expect("starts");
         let (address, _log) = address(&mut child);
-        let mut taken = Caller::connect(address);
+        let mut taken = Client::connect(address);
         taken.send("order", "one");
         upstream.wait_requests(1);
-        let mut half = Caller::connect(address);
+        let mut half = Client::connect(address);
         half.raw(b"POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: half\r\n");
         std::fs::write(&file, configuration(new.address, &known, 30.0, 1024)).expect("written");
         for signal in signals {
@@ -433,33 +433,33 @@
 fn the_end_answers_what_is_still_out() {
     let upstream = Upstream::start(|_, _| Reply::Silence);
     let (mut balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-    let mut early = balancer.caller();
+    let mut early = balancer.client();
     early.send("order", "one");
     upstream.wait_requests(1);
     balancer.stop();
-    let mut late = balancer.caller();
+    let mut late = balancer.client();
     late.send("order", "two");
-    for caller in [&mut early, &mut late] {
-        assert_eq!(caller.answer().expect("an answer").status(), 502);
-        assert!(caller.answer().is_none());
+    for client in [&mut early, &mut late] {
+        assert_eq!(client.answer().expect("an answer").status(), 502);
+        assert!(client.answer().is_none());
     }
     upstream.wait_closed(2);
 }
 
-/// Guards what a drain can still serve: callers bring no new connections then, and take a balancer without a
+/// Guards what a drain can still serve: clients bring no new connections then, and take a balancer without a
 /// free one for gone. So the last free ones are kept, by a refusal at once, where there are more than a few.
 #[test]
 fn a_drain_keeps_connections_free() {
     let upstream =
         Upstream::start(|_, message| if message.body == b"held" { Reply::Silence } else { ok("served") });
     let (mut balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-    let mut callers: Vec<Caller> = (0..8).map(|_| balancer.caller()).collect();
-    for caller in &mut callers {
-        assert_eq!(caller.ask("read", "x").status(), 200);
+    let mut clients: Vec<Client> = (0..8).map(|_| balancer.client()).collect();
+    for client in &mut clients {
+        assert_eq!(client.ask("read", "x").status(), 200);
     }
-    let mut last = callers.pop().expect("one of them");
-    for caller in &mut callers[..6] {
-        caller.send("read", "held");
+    let mut last = clients.pop().expect("one of them");
+    for client in &mut clients[..6] {
+        client.send("read", "held");
     }
     upstream.wait_requests(14);
     assert_eq!(last.ask("read", "x").status(), 200, "before the drain none is kept");
@@ -470,11 +470,11 @@
     });
     assert_eq!((refused.status(), refused.header("retry-after")), (503, Some("1.500")));
     assert_eq!(refused.header("connection"), None);
-    callers.drain(..5);
+    clients.drain(..5);
     wait_for("few are left", || (last.ask("read", "x").status() == 200).then_some(()));
 }
 
-/// Found on r7000: a quarter of the callers' connections was kept free, and with it every second request of a
+/// Found on r7000: a quarter of the clients' connections was kept free, and with it every second request of a
 /// busy day was refused. Beyond the last two all are of use.
 #[test]
 fn a_drain_serves_on_all_connections_but_the_last_free_ones() {
@@ -487,13 +487,13 @@
         ok("served")
     });
     let (mut balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-    let mut callers: Vec<Caller> = (0..20).map(|_| balancer.caller()).collect();
-    for caller in &mut callers {
-        assert_eq!(caller.ask("read", "x").status(), 200);
+    let mut clients: Vec<Client> = (0..20).map(|_| balancer.client()).collect();
+    for client in &mut clients {
+        assert_eq!(client.ask("read", "x").status(), 200);
     }
-    let mut last = callers.pop().expect("one of them");
-    for caller in &mut callers[..18] {
-        caller.send("read", "held");
+    let mut last = clients.pop().expect("one of them");
+    for client in &mut clients[..18] {
+        client.send("read", "held");
     }
     upstream.wait_requests(38);
     balancer.stop();
@@ -506,17 +506,17 @@
     drop(release);
 }
 
-/// Found on r7000: connections were closed long before the end, and callers had no balancer until the next one.
+/// Found on r7000: connections were closed long before the end, and clients had no balancer until the next one.
 #[test]
 fn a_drain_keeps_connections_open_until_shortly_before_the_end() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let (mut balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
-    let mut caller = balancer.caller();
+    let mut client = balancer.client();
     let stopped = std::time::Instant::now();
     balancer.stop();
     let closed_after = wait_for("the end of the connection", || {
-        caller.send("read", "x");
-        let closes = caller.answer().is_none_or(|answer| answer.header("connection") == Some("close"));
+        client.send("read", "x");
+        let closes = client.answer().is_none_or(|answer| answer.header("connection") == Some("close"));
         std::thread::sleep(std::time::Duration::from_millis(20));
         closes.then(|| stopped.elapsed())
     });
@@ -550,8 +550,8 @@
     }
     hang_up(&text(&new));
     let _new_watch = new.watch();
-    let mut caller = Caller::connect(address);
-    assert_eq!(caller.ask("order", "one").status(), 200);
+    let mut client = Client::connect(address);
+    assert_eq!(client.ask("order", "one").status(), 200);
     child.kill().expect("it runs");
     child.wait().expect("ends");
 }
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A small world on loopback sockets: upstreams and a discovery that do as the test says, and a caller.
+//! A small world on loopback sockets: upstreams and a discovery that do as the test says, and a client.
 //! Everything listens on port 0; tests wait for what must happen, with limits that only a hang meets.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
@@ -398,14 +398,14 @@
     /// Returns once the balancer has taken in all that was sent to it before.
     pub fn catches_up(&self) {
         for _ in 0..3 {
-            let mut caller = self.caller();
-            caller.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
-            caller.answer().expect("an answer");
+            let mut client = self.client();
+            client.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+            client.answer().expect("an answer");
         }
     }
 
-    pub fn caller(&self) -> Caller {
-        Caller::connect(self.address)
+    pub fn client(&self) -> Client {
+        Client::connect(self.address)
     }
 
     /// As after a reload of a configuration that names this discovery.
@@ -466,15 +466,15 @@
     (address, log)
 }
 
-// --- Callers ---
+// --- Clients ---
 
-/// A caller's connection.
-pub struct Caller(pub TcpStream);
+/// A client's connection.
+pub struct Client(pub TcpStream);
 
 /// Numbers the requests: no two have the same id.
 static NUMBER: AtomicUsize = AtomicUsize::new(1);
 
-impl Caller {
+impl Client {
     pub fn connect(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).expect("accepted");
         stream.set_read_timeout(Some(LONG)).expect("set");
@@ -495,7 +495,7 @@
         self.send_whole(&format!("r-{}", NUMBER.fetch_add(1, Ordering::Relaxed)), tenant, class, body);
     }
 
-    /// For a caller that waits so many seconds.
+    /// For a client that waits so many seconds.
     pub fn send_within(&mut self, seconds: f64, class: &str) {
         let id = format!("r-{}", NUMBER.fetch_add(1, Ordering::Relaxed));
         self.raw(
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -10,8 +10,8 @@
     for status in ["draining", "gone"] {
         let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
         let (balancer, discovery) = Balancer::with(&[endpoint("s-1", old.address, 0, "ready")], 30.0);
-        let mut caller = balancer.caller();
-        assert_eq!(caller.ask("order", "one").body, b"old");
+        let mut client = balancer.client();
+        assert_eq!(client.ask("order", "one").body, b"old");
         let (line, watch) = discovery.watch();
         assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
         // An address that can't be read does not keep the drain from being heard.
@@ -20,7 +20,7 @@
         watch.says(8, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
         old.wait_closed(1);
         for _ in 0..5 {
-            assert_eq!(caller.ask("order", "two").body, b"new");
+            assert_eq!(client.ask("order", "two").body, b"new");
         }
         assert_eq!(old.requests().len(), 1);
     }
@@ -44,10 +44,10 @@
     let two = format!(r#"{{"index":9,"snapshot":false,"endpoints":[{gone}]}}"#);
     let three = format!(r#"{{"index":10,"snapshot":false,"endpoints":[{ready}]}}"#);
     watch.bytes(b"\n");
-    let mut caller = balancer.caller();
-    wait_for("the first list is taken in", || (caller.ask("read", "").body == b"first").then_some(()));
+    let mut client = balancer.client();
+    wait_for("the first list is taken in", || (client.ask("read", "").body == b"first").then_some(()));
     watch.bytes(format!("{two}\n\n{three}\n").as_bytes());
-    wait_for("both changes are taken in", || (caller.ask("read", "").body == b"second").then_some(()));
+    wait_for("both changes are taken in", || (client.ask("read", "").body == b"second").then_some(()));
 }
 
 /// Guards against a list that grows old unseen: a watch that ends, or turns to nonsense, is asked for again
@@ -61,11 +61,11 @@
     watch.end();
     let (line, watch) = discovery.watch();
     assert_eq!(line, "GET /catalog/members?follow=1&since=11 HTTP/1.1");
-    assert_eq!(balancer.caller().ask("read", "").status(), 200);
+    assert_eq!(balancer.client().ask("read", "").status(), 200);
     watch.bytes(b"\xff{]\n");
     let (line, _watch) = discovery.watch();
     assert_eq!(line, "GET /catalog/members?follow=1&since=11 HTTP/1.1");
-    assert_eq!(balancer.caller().ask("read", "").status(), 200);
+    assert_eq!(balancer.client().ask("read", "").status(), 200);
 }
 
 /// Guards against a watch that stays open and says nothing, as when discovery's machine is cut off: what it
@@ -85,18 +85,18 @@
 fn an_upstream_may_move() {
     let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
     let (balancer, discovery) = Balancer::with(&[endpoint("s-1", old.address, 0, "ready")], 30.0);
-    let mut caller = balancer.caller();
-    assert_eq!(caller.ask("order", "one").body, b"old");
+    let mut client = balancer.client();
+    assert_eq!(client.ask("order", "one").body, b"old");
     let (_, watch) = discovery.watch();
     watch.says(8, false, &[endpoint("s-1", new.address, 0, "ready")]);
     old.wait_closed(1);
-    assert_eq!(caller.ask("order", "two").body, b"new");
+    assert_eq!(client.ask("order", "two").body, b"new");
 }
 
 fn health(balancer: &Balancer) -> u16 {
-    let mut caller = balancer.caller();
-    caller.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
-    caller.answer().expect("an answer").status()
+    let mut client = balancer.client();
+    client.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.answer().expect("an answer").status()
 }
 
 /// Guards the front against a balancer that cannot serve yet: with no list, an empty one, or nobody in it who is ready.
@@ -120,7 +120,7 @@
         assert_eq!(health(&balancer), 503, "nobody is ready");
         watch.says(10, false, &[endpoint("s-1", upstream.address, 0, "ready")]);
         wait_for("the balancer can serve", || (health(&balancer) == 200).then_some(()));
-        assert_eq!(balancer.caller().ask("read", "").status(), 200);
+        assert_eq!(balancer.client().ask("read", "").status(), 200);
     }
 }
 
@@ -138,7 +138,7 @@
         let started = std::time::Instant::now();
         let balancer = Balancer::start(&configuration(discovery, &known, 30.0, 1024));
         assert_eq!(health(&balancer), 200);
-        assert_eq!(balancer.caller().ask("read", "").status(), 200);
+        assert_eq!(balancer.client().ask("read", "").status(), 200);
         // Far less than what a watch or a connection is waited for.
         assert!(started.elapsed() < std::time::Duration::from_secs(5));
     }
@@ -153,8 +153,8 @@
     let (balancer, old) = Balancer::with(&known, 30.0);
     let (_, old_watch) = old.watch();
     old_watch.says(8, false, &[endpoint("s-2", two.address, 1, "draining")]);
-    let mut caller = balancer.caller();
-    wait_for("version 8 is heard", || (0..8).all(|_| caller.ask("order", "x").body == b"one").then_some(()));
+    let mut client = balancer.client();
+    wait_for("version 8 is heard", || (0..8).all(|_| client.ask("order", "x").body == b"one").then_some(()));
     let new = Discovery::beating(LONG);
     balancer.move_discovery(&new);
     let (line, new_watch) = new.watch();
@@ -165,14 +165,14 @@
         &[endpoint("s-1", one.address, 0, "draining"), endpoint("s-2", two.address, 1, "ready")],
     );
     wait_for("the old watch is heard", || {
-        (0..8).all(|_| caller.ask("order", "x").body == b"two").then_some(())
+        (0..8).all(|_| client.ask("order", "x").body == b"two").then_some(())
     });
     new_watch.says(
         10,
         false,
         &[endpoint("s-1", one.address, 0, "ready"), endpoint("s-2", two.address, 1, "gone")],
     );
-    wait_for("the new watch is heard", || (caller.ask("order", "x").body == b"one").then_some(()));
+    wait_for("the new watch is heard", || (client.ask("order", "x").body == b"one").then_some(()));
     // What the old one says now is no longer the truth.
     old_watch.says(
         11,
@@ -180,7 +180,7 @@
         &[endpoint("s-1", one.address, 0, "gone"), endpoint("s-2", two.address, 1, "gone")],
     );
     for _ in 0..8 {
-        assert_eq!(caller.ask("order", "x").body, b"one");
+        assert_eq!(client.ask("order", "x").body, b"one");
     }
 }
 
@@ -195,14 +195,14 @@
     let pushed = asked.replace(r#""discovery":"subscribe""#, r#""discovery":"automatic""#);
     assert_ne!(asked, pushed);
     let balancer = Balancer::start(&pushed);
-    let mut caller = balancer.caller();
-    assert_eq!(caller.ask("order", "one").body, b"old");
+    let mut client = balancer.client();
+    assert_eq!(client.ask("order", "one").body, b"old");
     let (line, watch) = discovery.watch();
     assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
     let drained = endpoint("s-1", old.address, 0, "draining");
     watch.says(8, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
     old.wait_closed(1);
-    assert_eq!(caller.ask("order", "two").body, b"new");
+    assert_eq!(client.ask("order", "two").body, b"new");
 }
 
 /// Guards against lists that are passed over for their form: one may come indented, over several lines, in
@@ -211,8 +211,8 @@
 fn a_list_may_come_indented() {
     let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
     let (balancer, discovery) = Balancer::with(&[endpoint("s-1", old.address, 0, "ready")], 30.0);
-    let mut caller = balancer.caller();
-    assert_eq!(caller.ask("order", "one").body, b"old");
+    let mut client = balancer.client();
+    assert_eq!(client.ask("order", "one").body, b"old");
     let (_, watch) = discovery.watch();
     let said = |index: u64, endpoints: &[serde_json::Value]| {
         let word = serde_json::json!({"index": index, "snapshot": false, "endpoints": endpoints});
@@ -225,7 +225,7 @@
     old.wait_closed(1);
     let ready = said(9, &[endpoint("s-2", new.address, 1, "ready")]);
     watch.bytes(format!("\n{}{ready}\n{}", said(9, &[]), said(10, &[])).as_bytes());
-    wait_for("the list is taken in", || (caller.ask("order", "two").status() == 200).then_some(()));
+    wait_for("the list is taken in", || (client.ask("order", "two").status() == 200).then_some(()));
     assert_eq!(old.requests().len(), 1);
     watch.end();
     let (line, _watch) = discovery.watch();
@@ -261,14 +261,14 @@
     let (_, old_watch) = old.watch();
     old_watch.says(8, false, &[]);
     let new = Discovery::beating(LONG);
-    let mut caller = balancer.caller();
+    let mut client = balancer.client();
     old_watch.says(9, false, &[endpoint("s-1", upstream.address, 0, "ready")]);
-    wait_for("version 9 is heard", || (caller.ask("read", "").status() == 200).then_some(()));
+    wait_for("version 9 is heard", || (client.ask("read", "").status() == 200).then_some(()));
     balancer.move_discovery(&new);
     let (line, new_watch) = new.watch();
     assert_eq!(line, "GET /catalog/members?follow=1&since=9 HTTP/1.1");
     old_watch.says(100, false, &[endpoint("s-1", upstream.address, 0, "draining")]);
-    wait_for("the old watch is heard", || (caller.ask("read", "").status() != 200).then_some(()));
+    wait_for("the old watch is heard", || (client.ask("read", "").status() != 200).then_some(()));
     new_watch.end();
     let (line, _watch) = new.watch();
     assert_eq!(line, "GET /catalog/members?follow=1&since=9 HTTP/1.1");
@@ -298,8 +298,8 @@
     for byte in last.as_bytes() {
         watch.bytes(&[*byte]);
     }
-    let mut caller = balancer.caller();
-    wait_for("the last list is taken in", || (caller.ask("read", "").body == b"new").then_some(()));
+    let mut client = balancer.client();
+    wait_for("the last list is taken in", || (client.ask("read", "").body == b"new").then_some(()));
     assert!(discovery.next_watch().is_none(), "the watch broke");
     watch.end();
     let (line, _watch) = discovery.watch();
--- a/dahliahead/tests/floods.rs
+++ b/dahliahead/tests/floods.rs
@@ -1,4 +1,4 @@
-//! Callers and upstreams that send much: the program's memory stays small, others are served, and each gets its end.
+//! Clients and upstreams that send much: the program's memory stays small, others are served, and each gets its end.
 
 mod common;
 
@@ -32,8 +32,8 @@
     let (address, _log) = address(&mut program);
     let mut flooding = Vec::new();
     for number in 0..50 {
-        let mut caller = Caller::connect(address);
-        caller.raw(
+        let mut client = Client::connect(address);
+        client.raw(
             format!(
                 "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: f-{number}\r\nX-Tenant: acme\r\n\
                  Transfer-Encoding: chunked\r\n\r\n"
@@ -41,16 +41,16 @@
             .as_bytes(),
         );
         // It may be hung up on meanwhile.
-        let _ = caller.0.write_all(&pieces);
-        flooding.push(caller);
-        let mut caller = Caller::connect(address);
-        caller.send("read", "");
-        flooding.push(caller);
+        let _ = client.0.write_all(&pieces);
+        flooding.push(client);
+        let mut client = Client::connect(address);
+        client.send("read", "");
+        flooding.push(client);
     }
     upstream.wait_requests(50);
-    assert_eq!(Caller::connect(address).ask("order", "one").status(), 200);
-    for mut caller in flooding.into_iter().step_by(2) {
-        assert!(caller.answer().is_none_or(|answer| answer.status() == 408));
+    assert_eq!(Client::connect(address).ask("order", "one").status(), 200);
+    for mut client in flooding.into_iter().step_by(2) {
+        assert!(client.answer().is_none_or(|answer| answer.status() == 408));
     }
     let peak = peak_kib(&program);
     program.kill().expect("it runs");
@@ -62,10 +62,10 @@
     std::fs::read_dir(format!("/proc/{}/fd", program.id())).expect("it runs").count()
 }
 
-/// Guards memory, descriptors and the others against callers that send much at once and go, and against many that leave
+/// Guards memory, descriptors and the others against clients that send much at once and go, and against many that leave
 /// in one moment with their requests out: what they held is free again, and their attempts are over.
 #[test]
-fn callers_that_send_much_and_go_leave_nothing_behind() {
+fn clients_that_send_much_and_go_leave_nothing_behind() {
     let upstream =
         Upstream::start(|_, message| if message.body == b"held" { Reply::Silence } else { ok("served") });
     let discovery = Discovery::start();
@@ -73,11 +73,11 @@
     let mut program = program(&configuration(discovery.address, &known, 50.0, 1024));
     let (address, _log) = address(&mut program);
     let (_, _watch) = discovery.watch();
-    assert_eq!(Caller::connect(address).ask("order", "one").status(), 200);
+    assert_eq!(Client::connect(address).ask("order", "one").status(), 200);
     let before = descriptors(&program);
-    let mut leaving: Vec<Caller> = (0..100).map(|_| Caller::connect(address)).collect();
-    for caller in &mut leaving {
-        caller.send("order", "held");
+    let mut leaving: Vec<Client> = (0..100).map(|_| Client::connect(address)).collect();
+    for client in &mut leaving {
+        client.send("order", "held");
     }
     upstream.wait_requests(101);
     let much = "x".repeat(1 << 20);
@@ -90,25 +90,25 @@
             format!("{head}Transfer-Encoding: chunked\r\n\r\nfffff0\r\n"),
             format!("{head}Content-Length: 5\r\n\r\nabcde"),
         ] {
-            let mut caller = Caller::connect(address);
-            let _ = caller.0.write_all(begun.as_bytes());
-            let _ = caller.0.write_all(much.as_bytes());
+            let mut client = Client::connect(address);
+            let _ = client.0.write_all(begun.as_bytes());
+            let _ = client.0.write_all(much.as_bytes());
         }
     }
-    assert_eq!(Caller::connect(address).ask("order", "two").status(), 200);
+    assert_eq!(Client::connect(address).ask("order", "two").status(), 200);
     drop(leaving);
     // Their attempts end with them, each with its connection.
     upstream.wait_closed(100);
     wait_for("the descriptors are free", || (descriptors(&program) <= before + 2).then_some(()));
-    assert_eq!(Caller::connect(address).ask("order", "three").status(), 200);
+    assert_eq!(Client::connect(address).ask("order", "three").status(), 200);
     let peak = peak_kib(&program);
     program.kill().expect("it runs");
     program.wait().expect("ends");
     assert!(peak < 32 * 1024, "{peak} KiB");
 }
 
-/// Guards proper callers and the peers themselves where many send no proper request, all at a time: each gets an error or
-/// a close long before this test is impatient, and a proper caller is served among them.
+/// Guards proper clients and the peers themselves where many send no proper request, all at a time: each gets an error or
+/// a close long before this test is impatient, and a proper client is served among them.
 #[test]
 fn many_malformed_peers_get_their_end_beside_others() {
     let upstream = Upstream::start(|_, _| ok("served"));
@@ -116,7 +116,7 @@
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let balancer = Balancer::start(&configuration(discovery.address, &known, 30.0, 256));
     let good = "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\n\r\n";
-    let mut proper = balancer.caller();
+    let mut proper = balancer.client();
     let mut peers = Vec::new();
     for _ in 0..15 {
         for text in [
@@ -133,7 +133,7 @@
             good[..40].to_owned(),
             good.replace("a\r\n", &format!("a\r\nX-Fill: {}\r\n", "x".repeat(40_000))),
         ] {
-            let mut peer = balancer.caller();
+            let mut peer = balancer.client();
             let _ = peer.0.write_all(text.as_bytes());
             peers.push((peer, text));
             if peers.len() % 10 == 0 {
@@ -145,6 +145,6 @@
         let answer = peer.answer();
         assert!(answer.is_none_or(|answer| (400..600).contains(&answer.status())), "{text:.40}");
     }
-    assert_eq!(balancer.caller().ask("order", "x").status(), 200);
+    assert_eq!(balancer.client().ask("order", "x").status(), 200);
     assert!(upstream.requests().iter().all(|(_, request)| request.line.contains("/order")));
 }
--- a/dahliahead/tests/tenants.rs
+++ b/dahliahead/tests/tenants.rs
@@ -9,7 +9,7 @@
 use common::*;
 use serde_json::{Value, json};
 
-/// Takes so long that the machine's own delays are no crowd.
+/// Takes so long that the machine's own delays are no congestion.
 fn calm(_: usize, _: &Message) -> Reply {
     std::thread::sleep(Duration::from_millis(40));
     ok("served")
@@ -35,7 +35,7 @@
     (upstreams, balancer, discovery)
 }
 
-/// Guards what tenants may count on: with half of the upstreams gone and no crowd on the others, a tenant is not
+/// Guards what tenants may count on: with half of the upstreams gone and no congestion on the others, a tenant is not
 /// held to half of its quota.
 #[test]
 fn what_is_left_serves_more_than_its_part() {
@@ -46,13 +46,13 @@
     watch.says(8, false, &[listed(0), listed(1)]);
     // Nothing shows when it has taken effect; if it had not, nothing would be held back either.
     std::thread::sleep(Duration::from_millis(600));
-    let mut caller = balancer.caller();
+    let mut client = balancer.client();
     for number in 0..15 {
-        assert_eq!(caller.ask("read", "x").status(), 200, "call {number}");
+        assert_eq!(client.ask("read", "x").status(), 200, "call {number}");
     }
 }
 
-/// Guards a tenant whose callers ask again as soon as they are refused: once a crowd has cut its limit, the storm
+/// Guards a tenant whose clients ask again as soon as they are refused: once congestion has cut its limit, the storm
 /// must not keep it from all that it may have, nor its limit from coming back.
 #[test]
 fn a_storm_of_refused_calls_locks_no_tenant_out() {
@@ -64,16 +64,16 @@
     };
     let projects = json!([{"name": "acme", "quotaPerS": 4.0}, {"name": "bolt", "quotaPerS": 4.0}]);
     let (_upstreams, balancer, _discovery) = with_quotas(script, &json!({"projects": projects}));
-    let mut callers: Vec<_> = (0..9).map(|_| balancer.caller()).collect();
+    let mut clients: Vec<_> = (0..9).map(|_| balancer.client()).collect();
     // Some 90 calls a second, eight in nine of one tenant; tells whether any of those was served.
     let mut round = || {
         let next = Instant::now() + Duration::from_millis(100);
-        for (number, caller) in callers.iter_mut().enumerate() {
-            caller.send_for(if number == 0 { "bolt" } else { "acme" }, "read", "x");
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send_for(if number == 0 { "bolt" } else { "acme" }, "read", "x");
         }
         let mut served = false;
-        for (number, caller) in callers.iter_mut().enumerate() {
-            served |= caller.answer().expect("an answer").status() == 200 && number > 0;
+        for (number, client) in clients.iter_mut().enumerate() {
+            served |= client.answer().expect("an answer").status() == 200 && number > 0;
         }
         std::thread::sleep(next.saturating_duration_since(Instant::now()));
         served
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,13 +35,13 @@
 const LAST_SECOND: u64 = 10;
 /// Hard limit over soft limit. Wide: a tenant that sends several times its share would be denied that too.
 const HARD_LIMIT_FACTOR: f64 = 32.0;
-/// What all tenants of a copy may send beyond their fair parts while no crowd is met, in fair parts...
+/// What all tenants of a copy may send beyond their fair shares while no congestion is met, in fair shares...
 const EXCESS: f64 = 0.4;
-/// ...half of it at about this many calls a second: the fewer a copy sees, the later it sees a crowd come.
+/// ...half of it at about this many calls a second: the fewer a copy sees, the later it sees congestion come.
 const NOTICE: f64 = 12.0;
 /// Over-share worth from which the excess is worth serving, so that no ceiling holds.
 const EXCESS_COUNTS: f64 = 0.5;
-/// Standard deviations of chance allowed above a fair part, so that few calls are not taken for many.
+/// Standard deviations of chance allowed above a fair share, so that few calls are not taken for many.
 const CHANCE: f64 = 1.0;
 /// Calls a second gained by a finish in time: about 5% a second at the limit.
 const RISE: f64 = 0.05;
@@ -53,16 +53,16 @@
 const DROP_EVERY_S: (f64, f64) = (0.25, 0.5);
 /// What a drop leaves of the limit in a jam: servers choke within seconds.
 const DROP_JAMMED: f64 = 0.7;
-/// Crowding in a jam, at which the floor has given way...
+/// Congestion in a jam, at which the floor has given way...
 const JAMMED: f64 = 0.7;
-/// ...to this part of the fair part: what a choked tier can still serve.
+/// ...to this part of the fair share: what a choked tier can still serve.
 const FLOOR_JAMMED: f64 = 0.25;
 /// Floor of a limit without a quota, in usual rates. High: a call denied below the first tier is lost above.
 const FLOOR_UNQUOTED: f64 = 0.7;
-/// Least part of a tier that counts as had: more set aside is a trouble of the tier, no loss of servers.
+/// Least part of a tier that counts as had: more ejected is a trouble of the tier, no loss of servers.
 const HAD_LEAST: f64 = 0.5;
-/// What is left of a tier may carry so much beyond its part while no crowd is met: quotas tell nothing of
-/// capacity. It does harm where they are all that the tier can do, until the crowd shows.
+/// What is left of a tier may carry so much beyond its part while no congestion is met: quotas tell nothing of
+/// capacity. It does harm where they are all that the tier can do, until the congestion shows.
 const SPARE: f64 = 0.5;
 /// Aims by which calls of the own zone must take longer than elsewhere before any leave it: over the noise of
 /// some twenty calls...
@@ -79,15 +79,15 @@
 const FAIL_WEIGHT: f64 = 0.2;
 /// Weight of one outcome in the tier's failure share, of one latency in its slowness.
 const TIER_WEIGHT: f64 = 0.02;
-/// An upstream whose failure share is over this and over the tier's by the multiple is set aside.
+/// An upstream whose failure share is over this and over the tier's by the multiple is ejected.
 const FAIL_OVER: (f64, f64) = (0.3, 2.0);
 /// Failed connects in a row, with nothing heard between, from which an upstream is out of reach: one that answers on
 /// other connections is not, however many come up late.
 const MISSED: u32 = 2;
-/// Largest part of a group of upstreams set aside at a time: the rest must carry the load.
-const ASIDE_MOST: f64 = 0.34;
-/// Seconds set aside at first, and at most; doubled when a return fails.
-const ASIDE_S: (f64, f64) = (1.5, 12.0);
+/// Largest part of a group of upstreams ejected at a time: the rest must carry the load.
+const EJECTED_MOST: f64 = 0.34;
+/// Seconds ejected at first, and at most; doubled when a return fails.
+const EJECTION_S: (f64, f64) = (1.5, 12.0);
 /// Part of its usual chance with which an upstream returns; doubled by each good answer.
 const RETURN_AT: f64 = 0.1;
 /// An upstream that owes answers and has been silent for this many usual latencies is stalled...
@@ -109,22 +109,22 @@
 const REPEATS: (f64, f64) = (0.1, 10.0);
 /// Further attempts per request after one proved not to have run, and the most saved up.
 const REROUTES: (f64, f64) = (0.5, 20.0);
-/// Seconds of calls in the share that met crowding: servers choke within two.
-const CROWDING_S: f64 = 2.0;
+/// Seconds of calls in the share that met congestion: servers choke within two.
+const CONGESTION_S: f64 = 2.0;
 /// Weight of one call in that share, at most.
-const CROWDING_WEIGHT: f64 = 0.15;
-/// Crowding from which a limit drops.
-const CROWDED: f64 = 0.2;
-/// Seconds over which the typical latency of a class is learned: a crowd must not become the custom...
+const CONGESTION_WEIGHT: f64 = 0.15;
+/// Congestion from which a limit drops.
+const CONGESTED: f64 = 0.2;
+/// Seconds over which the typical latency of a class is learned: congestion must not become the custom...
 const TYPICAL_S: f64 = 20.0;
 /// ...and the weight of one call in it, at most.
 const TYPICAL_STEP: f64 = 0.02;
-/// Crowding of a call that failed or came late; of others it is how often the typical latency doubled, more
+/// Congestion of a call that failed or came late; of others it is how often the typical latency doubled, more
 /// or less (a natural logarithm), so that a few heavy calls count little and a general delay much.
-const CROWDED_MOST: f64 = 2.0;
-/// Tier failure share from which an error counts as crowding below and not as a bad upstream, where calls that are
+const CONGESTED_MOST: f64 = 2.0;
+/// Tier failure share from which an error counts as congestion below and not as a bad upstream, where calls that are
 /// served are slowed as well: faults fail calls too, and holding back calls mends none.
-const CROWDED_ERRORS: f64 = 0.1;
+const CONGESTED_ERRORS: f64 = 0.1;
 /// Seconds that an attempt must have left to be worth sending.
 const LEAST_S: f64 = 0.001;
 /// Seconds between sweeps.
@@ -250,7 +250,7 @@
     rate: f64,
     /// What the copy may need of a quota; 0 where there is none.
     full: f64,
-    /// The fair part of a quota, bare and with its chance, where there is one.
+    /// The fair share of a quota, bare and with its chance, where there is one.
     fair: f64,
     quota: Option<f64>,
     ceiling: f64,
@@ -284,16 +284,16 @@
         self.rate = (self.rate + rise).min(self.ceiling);
     }
 
-    fn drop(&mut self, crowding: f64, accepted: f64) {
+    fn drop(&mut self, congestion: f64, accepted: f64) {
         // A lone refusal or slow call happens on the quietest day; a cut for each one denies calls without
         // need, which below the first tier fails the whole request above.
-        let enough = if self.quota.is_some() { CROWDED } else { JAMMED };
-        if crowding < enough {
+        let enough = if self.quota.is_some() { CONGESTED } else { JAMMED };
+        if congestion < enough {
             return;
         }
-        // A fair part is kept through common trouble. The more calls meet a crowd, the less it is what the
+        // A fair share is kept through common trouble. The more calls meet congestion, the less it is what the
         // servers can do; once they have choked only much less lets them recover.
-        let jam = ((crowding - CROWDED) / (JAMMED - CROWDED)).min(1.0);
+        let jam = ((congestion - CONGESTED) / (JAMMED - CONGESTED)).min(1.0);
         let part = 1.0 - (1.0 - FLOOR_JAMMED) * jam;
         let floor = self.quota.map_or((self.usual * FLOOR_UNQUOTED).max(1.0), |quota| quota * part);
         let drop = DROP + (DROP_JAMMED - DROP) * jam;
@@ -301,7 +301,7 @@
     }
 }
 
-/// Fair parts that a copy may need: of shares drawn at random the largest is about so many (the logarithm of their
+/// Fair shares that a copy may need: of shares drawn at random the largest is about so many (the logarithm of their
 /// number), and a copy held to one part denies calls that are within the quotas. Few copies are taken for even.
 fn uneven(copies: u32) -> f64 {
     f64::from(copies).ln().max(1.0)
@@ -402,8 +402,8 @@
     /// Latency over the usual of its classes, and the latencies learned from.
     slowness: f64,
     measured: f64,
-    aside_until: f64,
-    aside_s: f64,
+    ejected_until: f64,
+    ejection_s: f64,
     /// Chance of being taken when drawn, after its return.
     returning: f64,
     /// Sends that a cold upstream may still get, and when that was reckoned.
@@ -426,8 +426,8 @@
             missed: 0,
             slowness: 1.0,
             measured: 0.0,
-            aside_until: 0.0,
-            aside_s: ASIDE_S.0,
+            ejected_until: 0.0,
+            ejection_s: EJECTION_S.0,
             returning: 1.0,
             tokens: rng.rand_float(),
             tokens_at: now,
@@ -536,12 +536,12 @@
 }
 
 impl Latency {
-    fn learn(&mut self, took: f64, step: f64, crowded: bool) {
+    fn learn(&mut self, took: f64, step: f64, congested: bool) {
         self.known += 1.0;
         let over = took.ln() - self.typical;
-        let step = if crowded { step / 10.0 } else { step }.min(TYPICAL_STEP);
-        // The first is taken whole, others as crowding counts them: in quiet times crowding then rests at none.
-        let (least, most) = if self.known > 1.0 { (-1.0, CROWDED_MOST) } else { (f64::MIN, f64::MAX) };
+        let step = if congested { step / 10.0 } else { step }.min(TYPICAL_STEP);
+        // The first is taken whole, others as congestion counts them: in quiet times congestion then rests at none.
+        let (least, most) = if self.known > 1.0 { (-1.0, CONGESTED_MOST) } else { (f64::MIN, f64::MAX) };
         self.typical += step.max(1.0 / self.known) * over.clamp(least, most);
     }
 
@@ -574,8 +574,8 @@
     slots: FxHashMap<UpstreamId, usize>,
     free: Vec<usize>,
     ready: Vec<usize>,
-    /// Share of the calls that met crowding lately, the same of those served, and the time of the next drop for it.
-    crowding: f64,
+    /// Share of the calls that met congestion lately, the same of those served, and the time of the next drop for it.
+    congestion: f64,
     slowed: f64,
     drop_after: f64,
     tier_failures: f64,
@@ -600,7 +600,7 @@
             settings.tenants.iter().map(|tenant| LearnedLimit::new(&settings, tenant.quota)).collect();
         let mut suppressors: Vec<_> =
             limits.iter().map(|_| Suppressor { bucket_s: BUCKET_S, ..Suppressor::default() }).collect();
-        // The last is for all tenants together: at first what the copy may need of them all, in a crowd less.
+        // The last is for all tenants together: at first what the copy may need of them all, in congestion less.
         let mut all = LearnedLimit::new(&settings, settings.tenants.iter().map(|tenant| tenant.quota).sum());
         if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
             all.quota = Some(all.fair);
@@ -620,7 +620,7 @@
             slots: FxHashMap::default(),
             free: Vec::new(),
             ready: Vec::new(),
-            crowding: 0.0,
+            congestion: 0.0,
             slowed: 0.0,
             drop_after: 0.0,
             tier_failures: 0.0,
@@ -757,7 +757,7 @@
         self.subset.home.listed = home.len();
         self.subset.away.listed = away.len();
         if self.subset.stay.is_none() {
-            // Below the first tier the callers stand where the tier above was spread to.
+            // Below the first tier the clients stand where the tier above was spread to.
             self.subset.stay = Some(if self.settings.tier == 0 { self.subset.even() } else { 1.0 });
         }
         let (index, copies) = (self.settings.index, self.settings.copies);
@@ -804,7 +804,7 @@
         }
     }
 
-    /// A tenant over its fair part must also find room in what all tenants of this copy may send: the chance
+    /// A tenant over its fair share must also find room in what all tenants of this copy may send: the chance
     /// allowed to each of many small limits, over all copies, would add up to more than the tier.
     fn admit(&mut self, now: f64, tenant: usize) -> bool {
         let Self { suppressors, limits, rng, subset: Subset { had, .. }, .. } = self;
@@ -835,7 +835,7 @@
     fn useful_until(&self, entry: &Entry) -> f64 {
         let class = &self.settings.classes[entry.class.0];
         let aim = entry.arrived + class.aim.as_secs_f64();
-        // Where no deadline is passed on, a caller's slot would be held for a client long gone.
+        // Where no deadline is passed on, a server's slot would be held for a client long gone.
         let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
         if class.late_worth > 0.0 && !blind { entry.deadline } else { entry.deadline.min(aim) }
     }
@@ -902,7 +902,7 @@
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
-            if upstream.aside_until > now
+            if upstream.ejected_until > now
                 || upstream.stalled(now, usual)
                 || self.ledger.tried(id, upstream.member.id)
             {
@@ -1025,7 +1025,7 @@
                 Effect::Keyed { scope, .. } => scope == DedupScope::All,
                 Effect::Unsafe => false,
             };
-        // Told to stay away past its time, a client never comes back; tries within an aim feed the crowd.
+        // Told to stay away past its time, a client never comes back; tries within an aim feed the congestion.
         let retry_after = self.settings.allowed.retry_after.map(|most| most.min(class.aim));
         let refusal = Action::Refuse { request: id, retry_after };
         actions.push(if harmless { refusal } else { Action::Fail { request: id } });
@@ -1060,14 +1060,14 @@
         // By its own time: what was lost before it, on connections or elsewhere, tells nothing of congestion here.
         let late = took > self.settings.classes[class.0].aim.as_secs_f64();
         let (closed, idle) = (entry.closed || finished, entry.out == 0);
-        // Given less time than such calls take, it tells of its caller's haste: counted like others, the calls of
-        // one tenant in haste would pass for a crowd and have all tenants denied.
-        let hasty = matches!(outcome, Outcome::Error | Outcome::TimedOut)
+        // Given less time than such calls take, it tells of its short deadline: counted like others, the calls of
+        // one tenant with short deadlines would pass for congestion and have all tenants denied.
+        let short_deadline = matches!(outcome, Outcome::Error | Outcome::TimedOut)
             && given < self.latencies[class.0].seconds();
-        self.learn_outcome(now, slot, class, outcome, took, hasty);
-        let Upstream { member: Member { id: upstream, .. }, aside_until, in_flight, .. } =
+        self.learn_outcome(now, slot, class, outcome, took, short_deadline);
+        let Upstream { member: Member { id: upstream, .. }, ejected_until, in_flight, .. } =
             self.upstreams[slot];
-        if aside_until > now && in_flight > 0 {
+        if ejected_until > now && in_flight > 0 {
             actions.push(Action::AbortConnects { upstream });
         }
         if closed {
@@ -1077,11 +1077,11 @@
         if !closed && idle && !again {
             self.finish(id, actions);
         }
-        // A call that was turned away and went elsewhere has met no crowd yet: behind a broken link or one
+        // A call that was rejected and went elsewhere has met no congestion yet: behind a broken link or one
         // full server the tenant's limit would drop although its calls are served. Refusals by two servers in
-        // a row are a crowd.
+        // a row are congestion.
         let refusals = outcome == Outcome::Refused && number.0 > 0;
-        if !hasty && (refusals || !(again && outcome.never_ran())) {
+        if !short_deadline && (refusals || !(again && outcome.never_ran())) {
             self.meet(now, class, tenant, outcome, took, late);
         }
     }
@@ -1098,7 +1098,7 @@
         true
     }
 
-    /// What an outcome tells of its upstream and of the zones; nothing if it was `hasty`.
+    /// What an outcome tells of its upstream and of the zones; nothing if it was `short_deadline`.
     fn learn_outcome(
         &mut self,
         now: f64,
@@ -1106,7 +1106,7 @@
         class: ClassId,
         outcome: Outcome,
         took: f64,
-        hasty: bool,
+        short_deadline: bool,
     ) {
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
@@ -1121,10 +1121,10 @@
         }
         let home = upstream.home;
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
-        if hasty || matches!(outcome, Outcome::NotSent | Outcome::Withdrawn) {
+        if short_deadline || matches!(outcome, Outcome::NotSent | Outcome::Withdrawn) {
             return;
         }
-        // Who turns calls away has none in flight: uncounted, it would draw ever more of them.
+        // Who rejects calls has none in flight: uncounted, it would draw ever more of them.
         let failed = outcome != Outcome::Good;
         match outcome {
             Outcome::ConnectFailed => upstream.missed += 1,
@@ -1134,7 +1134,7 @@
         let out_of_reach = upstream.missed >= MISSED;
         upstream.failures += FAIL_WEIGHT * (f64::from(u8::from(failed)) - upstream.failures);
         // A failed connect is that upstream's own, as is a refusal: behind a broken link, counting it for the tier
-        // would make many lost upstreams look like crowding below, and none would be set aside.
+        // would make many lost upstreams look like congestion below, and none would be ejected.
         if !matches!(outcome, Outcome::ConnectFailed | Outcome::Refused) {
             self.tier_failures += TIER_WEIGHT * (f64::from(u8::from(failed)) - self.tier_failures);
         }
@@ -1155,49 +1155,49 @@
         if outcome == Outcome::Good {
             upstream.returning = (upstream.returning * 2.0).min(1.0);
             if upstream.returning >= 1.0 {
-                upstream.aside_s = ASIDE_S.0;
+                upstream.ejection_s = EJECTION_S.0;
             }
         } else if failed {
-            self.set_aside(now, slot, out_of_reach);
+            self.eject(now, slot, out_of_reach);
         }
-        let crowded = !matches!(outcome, Outcome::Good | Outcome::Error);
+        let congested = !matches!(outcome, Outcome::Good | Outcome::Error);
         let group = if home { &mut self.subset.home } else { &mut self.subset.away };
-        let delay = if crowded { took.max(aim) } else { took } / aim;
+        let delay = if congested { took.max(aim) } else { took } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
     }
 
-    /// What the end of a call tells of the crowd that it met, and so of the limits.
+    /// What the end of a call tells of the congestion that it met, and so of the limits.
     fn meet(&mut self, now: f64, class: ClassId, tenant: usize, outcome: Outcome, took: f64, late: bool) {
         let bad = match outcome {
             Outcome::Refused | Outcome::TimedOut | Outcome::ConnectFailed => true,
-            Outcome::Error => self.tier_failures > CROWDED_ERRORS && self.slowed > CROWDED,
+            Outcome::Error => self.tier_failures > CONGESTED_ERRORS && self.slowed > CONGESTED,
             Outcome::Good => late,
             _ => return,
         };
         let sample = if bad {
-            CROWDED_MOST
+            CONGESTED_MOST
         } else if outcome == Outcome::Good && self.settings.tier == 0 {
             // Shed early at the first tier only: a call denied below is work lost above.
-            (took.max(1e-4).ln() - self.latencies[class.0].typical).clamp(-1.0, CROWDED_MOST)
+            (took.max(1e-4).ln() - self.latencies[class.0].typical).clamp(-1.0, CONGESTED_MOST)
         } else {
             0.0
         };
         // The tenants meet the same tier: a small one's own calls are too few to tell of a jam in time.
         let all = self.settings.tenants.len();
         let rate = self.suppressors[all].accepted_rate(now);
-        let weight = (1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT);
-        self.crowding += weight * (sample - self.crowding);
-        let crowded = self.crowding > CROWDED;
+        let weight = (1.0 / (rate * CONGESTION_S)).min(CONGESTION_WEIGHT);
+        self.congestion += weight * (sample - self.congestion);
+        let congested = self.congestion > CONGESTED;
         if outcome == Outcome::Good {
             self.slowed += weight * (sample - self.slowed);
-            self.latencies[class.0].learn(took.max(1e-4), 1.0 / (rate * TYPICAL_S), crowded);
+            self.latencies[class.0].learn(took.max(1e-4), 1.0 / (rate * TYPICAL_S), congested);
         }
-        if crowded && now >= self.drop_after {
+        if congested && now >= self.drop_after {
             self.drop_after = now + between(&mut self.rng, DROP_EVERY_S);
             for (limit, suppressor) in self.limits.iter_mut().zip(&mut self.suppressors) {
-                limit.drop(self.crowding, suppressor.accepted_rate(now));
+                limit.drop(self.congestion, suppressor.accepted_rate(now));
             }
-        } else if !crowded && !bad && outcome == Outcome::Good {
+        } else if !congested && !bad && outcome == Outcome::Good {
             // A drop is for all; a tenant denied whole has no calls of its own left to come back with.
             for (number, limit) in self.limits.iter_mut().enumerate() {
                 let locked = limit.rate < limit.fair && self.suppressors[number].accepted_rate(now) == 0.0;
@@ -1208,21 +1208,21 @@
         }
     }
 
-    /// Sets an upstream aside where it fails and the tier does not; one out of reach in any case.
-    fn set_aside(&mut self, now: f64, slot: usize, out_of_reach: bool) {
+    /// Ejects an upstream where it fails and the tier does not; one out of reach in any case.
+    fn eject(&mut self, now: f64, slot: usize, out_of_reach: bool) {
         let upstream = &self.upstreams[slot];
         let tier = if out_of_reach { 0.0 } else { FAIL_OVER.1 * self.tier_failures };
-        if upstream.failures < FAIL_OVER.0 + tier || upstream.aside_until > now {
+        if upstream.failures < FAIL_OVER.0 + tier || upstream.ejected_until > now {
             return;
         }
         let group = if upstream.home { &self.subset.home } else { &self.subset.away };
-        let aside = group.members.iter().filter(|&&slot| self.upstreams[slot].aside_until > now).count();
-        if !out_of_reach && (aside + 1) as f64 > (group.members.len() as f64 * ASIDE_MOST).max(1.0) {
+        let ejected = group.members.iter().filter(|&&slot| self.upstreams[slot].ejected_until > now).count();
+        if !out_of_reach && (ejected + 1) as f64 > (group.members.len() as f64 * EJECTED_MOST).max(1.0) {
             return;
         }
         let upstream = &mut self.upstreams[slot];
-        upstream.aside_until = now + upstream.aside_s * between(&mut self.rng, (0.75, 1.25));
-        upstream.aside_s = (upstream.aside_s * 2.0).min(ASIDE_S.1);
+        upstream.ejected_until = now + upstream.ejection_s * between(&mut self.rng, (0.75, 1.25));
+        upstream.ejection_s = (upstream.ejection_s * 2.0).min(EJECTION_S.1);
         upstream.returning = RETURN_AT;
     }
 
@@ -1236,15 +1236,15 @@
         for (suppressor, limit) in self.suppressors.iter_mut().zip(&mut self.limits) {
             limit.usual += 0.02 * (suppressor.accepted_rate(now) - limit.usual);
         }
-        // Quotas are parts of a whole tier: while some is gone, cold or set aside, the rest would choke.
+        // Quotas are parts of a whole tier: while some is gone, cold or ejected, the rest would choke.
         let has = |&slot: &usize| {
             let upstream = &self.upstreams[slot];
-            if upstream.aside_until > now { 0.0 } else { upstream.warmth(now, &self.settings) }
+            if upstream.ejected_until > now { 0.0 } else { upstream.warmth(now, &self.settings) }
         };
         let Subset { home, away, first, size, .. } = &self.subset;
         let part = home.members.iter().chain(&away.members).map(has).sum::<f64>() / (*size).max(1) as f64;
         let ready = self.ready.len() as f64 / first.unwrap_or(1).max(1) as f64;
-        let calm = 2.0 * (1.0 - self.crowding / CROWDED).clamp(0.0, 0.5);
+        let calm = 2.0 * (1.0 - self.congestion / CONGESTED).clamp(0.0, 0.5);
         self.subset.had = (part * ready * (1.0 + SPARE * calm)).clamp(HAD_LEAST, 1.0);
         self.subset.learn_stay(self.settings.prices.cross_zone, &mut self.rng);
         for group in [&mut self.subset.home, &mut self.subset.away] {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -173,7 +173,7 @@
     pub over_share_worth: f64,
     /// How lists come.
     pub discovery: DiscoveryMode,
-    /// Calls from tier to tier carry the time that the caller has left.
+    /// Calls from tier to tier carry the time that the client has left.
     pub passes_deadline: bool,
     /// What the site allows.
     pub allowed: Allowed,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -72,7 +72,7 @@
         self.offer_within(tenant, millis(3000))
     }
 
-    /// The same for a caller that waits so long.
+    /// The same for a client that waits so long.
     pub fn offer_within(&mut self, tenant: Option<usize>, time_left: Duration) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next_id);
         self.next_id += 1;
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -87,7 +87,7 @@
 
 /// A server that fails fast looks idle; it must not draw the calls.
 #[test]
-fn a_failing_upstream_is_set_aside_and_comes_back() {
+fn a_failing_upstream_is_ejected_and_comes_back() {
     let mut bench = Bench::new(settings(), 3, (0..5).map(member).collect());
     share_of_first(&mut bench, 200, (Outcome::Good, 20), 20);
     let failing = share_of_first(&mut bench, 1000, (Outcome::Error, 2), 20);
@@ -143,7 +143,7 @@
     f64::from(home) / f64::from(calls)
 }
 
-/// All calls stayed at home at the start of a day, and the crowded zone choked within 2 s.
+/// All calls stayed at home at the start of a day, and the congested zone choked within 2 s.
 #[test]
 fn the_first_tier_starts_evenly_spread_and_then_keeps_calls_at_home() {
     let mut bench = two_zones(0, 0.1);
@@ -231,9 +231,9 @@
     assert!(timeout.unwrap() > millis(990), "{timeout:?}");
 }
 
-/// Behind a broken link many upstreams are out of reach at once; that must not look like crowding.
+/// Behind a broken link many upstreams are out of reach at once; that must not look like congestion.
 #[test]
-fn upstreams_out_of_reach_are_set_aside_however_many_they_are() {
+fn upstreams_out_of_reach_are_ejected_however_many_they_are() {
     let mut bench = Bench::new(settings(), 3, (0..9).map(member).collect());
     let mut lost = 0;
     for call in 0..600 {
@@ -294,11 +294,11 @@
     assert!(distinct(0.08) <= 5);
 }
 
-/// Found on the fleet's days: upstreams that drained before their copies were told turned calls away at once, so had
-/// none in flight and drew two fifths of all sends; the copies took it for a crowd.
+/// Found on the fleet's days: upstreams that drained before their copies were told rejected calls at once, so had
+/// none in flight and drew two fifths of all sends; the copies took it for congestion.
 #[test]
-fn upstreams_that_turn_calls_away_do_not_draw_more_of_them() {
-    let (mut sends, mut turned_away) = (0, 0);
+fn upstreams_that_reject_calls_do_not_draw_more_of_them() {
+    let (mut sends, mut rejected) = (0, 0);
     for index in 0..20 {
         let settings = Settings { index, copies: 20, ..settings() };
         let mut bench = Bench::new(settings, index.into(), (0..32).map(member).collect());
@@ -314,7 +314,7 @@
                     open.push_back((id, number));
                     break;
                 }
-                turned_away += 1;
+                rejected += 1;
                 actions = bench.end(id, number, Outcome::Refused, millis(1));
                 number += 1;
             }
@@ -324,5 +324,5 @@
             }
         }
     }
-    assert!(turned_away < sends / 12, "{turned_away} of {sends} sends turned away");
+    assert!(rejected < sends / 12, "{rejected} of {sends} sends rejected");
 }
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -79,7 +79,7 @@
     assert!(first_second <= 28.0, "{first_second} calls in the first second");
 }
 
-/// A fair part is kept through common trouble, gives way in a jam, and comes back after it.
+/// A fair share is kept through common trouble, gives way in a jam, and comes back after it.
 #[test]
 fn the_floor_gives_way_only_in_a_jam_and_the_limit_climbs_back() {
     let mut bench = ten_a_second();
@@ -120,7 +120,7 @@
 }
 
 /// A copy whose tenant has been let to climb well over its part, offered 14 calls a second of which
-/// every fourth is first turned away `refusals` times; the calls denied in 20 s.
+/// every fourth is first rejected `refusals` times; the calls denied in 20 s.
 fn denied_of_280(refusals: u32, outcome: Outcome, took: u64) -> u32 {
     let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
     settings.tenants = vec![Tenant { quota: Some(25.0 / 3.0) }];
@@ -238,7 +238,7 @@
     assert!(denied_of_280(2, Outcome::Refused, 20) > 10);
 }
 
-/// An aim of four usual latencies shows a crowd only after the servers have choked.
+/// An aim of four usual latencies shows congestion only after the servers have choked.
 #[test]
 fn calls_far_slower_than_usual_cut_the_limit_within_their_aim() {
     assert!(denied_of_280(0, Outcome::Refused, 150) > 10);
@@ -280,7 +280,7 @@
 /// Found in an incident: the chance allowed to each of many small limits added up to a fifth more than the
 /// tier could do, and the limits of single tenants never fell under it while less than a jam was seen.
 #[test]
-fn in_a_crowd_all_tenants_together_are_held_to_their_fair_parts() {
+fn in_congestion_all_tenants_together_are_held_to_their_fair_shares() {
     let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
     settings.tenants = vec![Tenant { quota: Some(2.0) }; 6];
     settings.over_share_worth = 0.0;
@@ -295,13 +295,13 @@
             bench.end(id, 0, if slow { Outcome::TimedOut } else { Outcome::Good }, millis(20));
         }
     }
-    let (generous, crowded) = (f64::from(passed[0]) / 40.0, f64::from(passed[1]) / 80.0);
-    assert!(generous > 12.5, "{generous} a second before any crowd");
-    assert!(crowded < generous - 0.7, "{crowded} a second in a crowd, 12 are fair, {generous} before");
+    let (generous, congested) = (f64::from(passed[0]) / 40.0, f64::from(passed[1]) / 80.0);
+    assert!(generous > 12.5, "{generous} a second before any congestion");
+    assert!(congested < generous - 0.7, "{congested} a second in congestion, 12 are fair, {generous} before");
 }
 
 /// Found in an incident: a third of a tier died, the quotas stayed what they were, and the survivors choked. While
-/// no crowd is met they may carry half as much again as their part, but not several times it.
+/// no congestion is met they may carry half as much again as their part, but not several times it.
 #[test]
 fn the_limits_shrink_with_the_tier() {
     let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
@@ -330,7 +330,7 @@
 /// Found in an incident: a copy that saw 200 calls a second took three times the latency for the custom
 /// within eight seconds, and let the servers choke.
 #[test]
-fn a_crowd_does_not_become_the_custom_of_a_busy_copy() {
+fn congestion_does_not_become_the_custom_of_a_busy_copy() {
     let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
     settings.tenants = vec![Tenant { quota: Some(50.0) }; 2];
     settings.over_share_worth = 0.0;
@@ -350,7 +350,7 @@
     run(&mut bench, 2000, 20);
     run(&mut bench, 1000, 60);
     let passed = run(&mut bench, 500, 60);
-    assert!(passed < 400, "{passed} of 500 passed in a crowd");
+    assert!(passed < 400, "{passed} of 500 passed in congestion");
 }
 
 /// Found on an overloaded day: clients that retried at once wore down a die cast for each call, and nearly
@@ -380,9 +380,9 @@
 }
 
 /// Found on r7909: the calls of one tenant that waited for a fraction of the usual time failed, were taken for
-/// a crowd, and had the limits of all tenants cut to their floors.
+/// congestion, and had the limits of all tenants cut to their floors.
 #[test]
-fn calls_in_haste_do_not_cut_the_limits_of_others() {
+fn calls_with_short_deadlines_do_not_cut_the_limits_of_others() {
     for outcome in [Outcome::Error, Outcome::TimedOut] {
         let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
         settings.tenants = vec![Tenant { quota: Some(10.0) }; 2];
@@ -425,8 +425,9 @@
             if sent(&actions).is_some() {
                 longest = longest.max(bench.now - admitted_at);
                 admitted_at = bench.now;
-                let crowd = (200..230).contains(&call);
-                let (outcome, took) = if crowd { (Outcome::TimedOut, 3000) } else { (Outcome::Good, 20) };
+                let congestion = (200..230).contains(&call);
+                let (outcome, took) =
+                    if congestion { (Outcome::TimedOut, 3000) } else { (Outcome::Good, 20) };
                 bench.end(id, 0, outcome, millis(took));
             }
         }
@@ -448,11 +449,11 @@
     }
 }
 
-/// Found on a long day: what a call usually takes was learned downwards at full speed in a crowd and upwards at a
-/// tenth of it, and long calls counted for more in a crowd than in what was learned. Each crowd left it lower, until
-/// calls like all others were taken for a crowd for good.
+/// Found on a long day: what a call usually takes was learned downwards at full speed in congestion and upwards at a
+/// tenth of it, and long calls counted for more in congestion than in what was learned. Each time it left it lower, until
+/// calls like all others were taken for congestion for good.
 #[test]
-fn a_crowd_that_has_gone_leaves_nothing_behind() {
+fn congestion_that_has_gone_leaves_nothing_behind() {
     // Ten parts of a spread as wide as that of real work, in a fixed disorder.
     let spread = [25, 3, 110, 40, 10, 200, 6, 65, 16, 30];
     let mut bench = ten_a_second();
@@ -460,11 +461,11 @@
     for call in 0..8 * 1200 {
         bench.pass(millis(125));
         let (id, actions) = bench.offer(Some(0));
-        // One minute in five is crowded, the last three are not.
-        let crowd = call / (8 * 60) % 5 == 1;
+        // One minute in five is congested, the last three are not.
+        let congestion = call / (8 * 60) % 5 == 1;
         if sent(&actions).is_some() {
             let took = spread[call % spread.len()];
-            bench.end(id, 0, Outcome::Good, millis(if crowd { took * 2 } else { took }));
+            bench.end(id, 0, Outcome::Good, millis(if congestion { took * 2 } else { took }));
         } else {
             denied += u32::from(call >= 8 * 1140);
         }
@@ -472,8 +473,8 @@
     assert!(denied < 10, "{denied} of 480 calls denied beside idle servers");
 }
 
-/// Found on the fleet's days: six of 55 copies had two fifths of the calls, were held to an even part of the quotas
-/// each, and denied most of theirs, though all copies together were well within the quotas and met no crowd.
+/// Found on the fleet's days: six of 55 copies had two fifths of the calls, were held to a fair share of the quotas
+/// each, and denied most of theirs, though all copies together were well within the quotas and met no congestion.
 #[test]
 fn copies_with_several_times_the_mean_serve_what_the_quotas_allow() {
     let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
@@ -502,10 +503,10 @@
     assert!(denied < offered / 50, "{denied} of {offered} calls denied");
 }
 
-/// Found on the fleet's days: after a crowd, copies that need several even parts of the quotas climbed back from one
+/// Found on the fleet's days: after congestion, copies that need several fair shares of the quotas climbed back from one
 /// at 5% a second, and denied calls beside idle servers for the rest of the day.
 #[test]
-fn copies_with_several_times_the_mean_are_soon_back_after_a_crowd() {
+fn copies_with_several_times_the_mean_are_soon_back_after_congestion() {
     let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
     settings.copies = 50;
     settings.tenants = vec![Tenant { quota: Some(500.0) }; 2];
@@ -513,21 +514,21 @@
     for index in 0..5 {
         let settings = Settings { index, ..settings.clone() };
         let mut bench = Bench::new(settings, index.into(), (0..8).map(member).collect());
-        // A part is 20 a second; 50 are offered. Seconds 5 to 8 are crowded.
-        let (mut in_crowd, mut after) = (0, 0);
+        // A part is 20 a second; 50 are offered. Seconds 5 to 8 are congested.
+        let (mut in_congestion, mut after) = (0, 0);
         for call in 0..50 * 24 {
             bench.pass(millis(20));
             let (id, actions) = bench.offer(Some(call % 2));
             let second = call / 50;
-            let crowd = (5..8).contains(&second);
+            let congestion = (5..8).contains(&second);
             if sent(&actions).is_some() {
-                bench.end(id, 0, if crowd { Outcome::TimedOut } else { Outcome::Good }, millis(20));
+                bench.end(id, 0, if congestion { Outcome::TimedOut } else { Outcome::Good }, millis(20));
             } else {
-                in_crowd += u32::from(crowd);
+                in_congestion += u32::from(congestion);
                 after += u32::from(second >= 20);
             }
         }
-        assert!(in_crowd > 50, "{in_crowd} of 150 calls denied in a crowd");
+        assert!(in_congestion > 50, "{in_congestion} of 150 calls denied in congestion");
         assert!(after < 50, "{after} of 200 calls denied 12 s after it");
     }
 }
