Refuse settings without sense, and names that stand twice, before listening

Symptom: with settings such as no copies the program logs 'n0 listens on 127.0.0.1:..' and ends after it; with two classes of one name it serves, and the first of them gets no requests. At fault: Config::parse(), which left Settings::validate() to Driver::start(), and positions() in setup.rs. The test of bad configurations has three more cases and wants each refused before 'listens' is logged; without the call of validate() it fails.

--- a/dahliahead/src/config.rs
+++ b/dahliahead/src/config.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use peathatch::interface::SettingsError;
 use peathatch_wirehost::setup::{self, Loaded, SetupError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -32,6 +33,9 @@
     /// The settings in it cannot be used.
     #[error("the settings are malformed: {0}")]
     Setup(#[from] SetupError),
+    /// They can be read, but not decided by.
+    #[error("the settings make no sense: {0}")]
+    Settings(#[from] SettingsError),
     /// A value makes no sense.
     #[error("{name} makes no sense: {value:?}")]
     Value {
@@ -118,6 +122,7 @@
     pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let file: File = serde_json::from_str(text)?;
         let loaded = setup::read(file.settings.get())?;
+        loaded.settings.validate()?;
         let listen = variable("PROXY_LISTEN").or(file.listen);
         let discovery = variable("PROXY_DISCOVERY").or(file.discovery);
         if file.limits.sockets < LEAST_SOCKETS {
--- a/dahliahead/tests/clients.rs
+++ b/dahliahead/tests/clients.rs
@@ -570,10 +570,16 @@
             sound.replace("\"me\":0", "\"me\":0,\"balancers\":0").replacen("\"balancers\":1,", "", 1),
             "copies is 0",
         ),
+        (sound.replace("\"onTimeS\":1.0", "\"onTimeS\":100.0"), "class 0"),
+        (sound.replace("\"pay\"", "\"read\""), "lanes makes no sense: \"read\""),
+        (sound.replace("\"zones\":[\"north\"]", "\"zones\":[\"south\"]"), "zone makes no sense: \"north\""),
     ] {
+        assert_ne!(text, sound);
         let child = program(&text);
         let done = child.wait_with_output().expect("ends");
         let log = String::from_utf8_lossy(&done.stderr).into_owned();
         assert!(!done.status.success() && log.contains(part) && !log.contains("panicked"), "{part}: {log}");
+        // Nobody is let in before the configuration is understood.
+        assert!(!log.contains("listens"), "{part}: {log}");
     }
 }
--- a/wirehost/src/setup.rs
+++ b/wirehost/src/setup.rs
@@ -215,12 +215,12 @@
 /// The text is not JSON of the expected form, or a value makes no sense.
 pub fn read(json: &str) -> Result<Loaded, SetupError> {
     let setup: Setup = serde_json::from_str(json)?;
-    let zones = positions(setup.zones.iter());
+    let zones = positions("zones", setup.zones.iter())?;
     let zone = *zones.get(&setup.zone).ok_or_else(|| wrong("zone", &setup.zone))?;
     let names = Names {
-        classes: positions(setup.lanes.iter().map(|lane| &lane.name)),
-        tenants: positions(setup.projects.iter().map(|project| &project.name)),
-        kinds: positions(setup.kinds.iter()),
+        classes: positions("lanes", setup.lanes.iter().map(|lane| &lane.name))?,
+        tenants: positions("projects", setup.projects.iter().map(|project| &project.name))?,
+        kinds: positions("kinds", setup.kinds.iter())?,
         load_fields: setup.load_info.fields,
         zones,
     };
@@ -308,6 +308,16 @@
     SetupError::Value { name: name.to_owned(), value: value.to_owned() }
 }
 
-fn positions<'a>(names: impl Iterator<Item = &'a String>) -> FxHashMap<String, usize> {
-    names.enumerate().map(|(position, name)| (name.clone(), position)).collect()
+/// The places of names. One that stands twice would leave the first place without requests.
+fn positions<'a>(
+    list: &str,
+    names: impl Iterator<Item = &'a String>,
+) -> Result<FxHashMap<String, usize>, SetupError> {
+    let mut places = FxHashMap::default();
+    for (place, name) in names.enumerate() {
+        if places.insert(name.clone(), place).is_some() {
+            return Err(wrong(list, name));
+        }
+    }
+    Ok(places)
 }
