--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -358,7 +358,11 @@
             // Closed before its last byte was written, it can't run any more.
             Err(_) => Some((Outcome::ConnectFailed.into(), None)),
         },
-        Ok(outcome) = end => Some((outcome.into(), None)),
+        Ok(outcome) = end => {
+            // What went out whole in this very moment may run.
+            let outcome = if progress.whole() { Outcome::Withdrawn } else { outcome };
+            Some((outcome.into(), None))
+        }
     };
     let Some((ended, connection)) = ended else { return };
     driver.attempt_ended(&job, progress.took(job.asked), ended);
