Count accepted calls in the suppressor and lay out all limits in one place

Change: buckets count what was accepted, LearnedLimit::all lays out the tenants' limits and the shared one.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -146,7 +146,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     total: u32,
-    declined: u32,
+    accepted: u32,
 }
 
 /// The suppressed strategy of the source page for one key.
@@ -166,13 +166,17 @@
 }
 
 impl Suppressor {
+    fn new(bucket_s: f64) -> Self {
+        Self { bucket_s, ..Self::default() }
+    }
+
     fn roll(&mut self, now: f64) {
         let bucket = (now / self.bucket_s) as u64;
         let steps = bucket.saturating_sub(self.current).min(BUCKETS as u64);
         for step in 1..=steps {
             let slot = &mut self.buckets[((self.current + step) % BUCKETS as u64) as usize];
             self.sum.total -= slot.total;
-            self.sum.declined -= slot.declined;
+            self.sum.accepted -= slot.accepted;
             *slot = Bucket::default();
         }
         self.current = self.current.max(bucket);
@@ -180,7 +184,7 @@
 
     fn accepted_rate(&mut self, now: f64) -> f64 {
         self.roll(now);
-        f64::from(self.sum.total - self.sum.declined) / self.span()
+        f64::from(self.sum.accepted) / self.span()
     }
 
     /// Seconds that the window has seen. A fresh copy's empty window would let seconds of overload through
@@ -200,43 +204,39 @@
         if self.current >= self.cast_at {
             (self.cast, self.cast_at) = (rng.rand_float(), self.current + BUCKETS as u64);
         }
-        self.span() * limit - f64::from(self.sum.total - self.sum.declined) > self.cast
+        self.span() * limit - f64::from(self.sum.accepted) > self.cast
     }
 
-    /// Decides on a call, which is to be counted next; `full` is the limit before any drop.
-    fn admit(&mut self, now: f64, limit: f64, full: f64, rng: &mut Rand64) -> bool {
-        let fits = self.fits(now, limit, rng);
-        let below = f64::from(self.sum.total) < self.span() * limit.max(full) * HARD_LIMIT_FACTOR;
-        below && (fits || rng.rand_float() >= self.factor(now, limit))
+    /// Decides on a call, which is to be counted next.
+    fn admit(&mut self, now: f64, limit: &LearnedLimit, rng: &mut Rand64) -> bool {
+        let fits = self.fits(now, limit.rate, rng);
+        let hard_limit = limit.rate.max(limit.full) * HARD_LIMIT_FACTOR;
+        let below = f64::from(self.sum.total) < self.span() * hard_limit;
+        below && (fits || rng.rand_float() >= self.factor(limit.rate))
     }
 
     fn count(&mut self, admitted: bool) {
         let slot = &mut self.buckets[(self.current % BUCKETS as u64) as usize];
         slot.total += 1;
         self.sum.total += 1;
-        if !admitted {
-            slot.declined += 1;
-            self.sum.declined += 1;
-        } else {
+        if admitted {
+            slot.accepted += 1;
+            self.sum.accepted += 1;
             self.cast_at = 0;
         }
     }
 
-    /// The rate of calls: the larger of that of the window and that of the last 1000 ms.
-    fn perceived(&mut self, now: f64) -> f64 {
-        self.roll(now);
-        (f64::from(self.sum.total) / self.span()).max(self.last_second(|bucket| bucket.total))
-    }
-
     fn last_second(&self, count: fn(&Bucket) -> u32) -> f64 {
         let slots = (0..LAST_SECOND).map(|back| self.current.saturating_sub(back) % BUCKETS as u64);
         f64::from(slots.map(|slot| count(&self.buckets[slot as usize])).sum::<u32>())
     }
 
-    fn factor(&mut self, now: f64, limit: f64) -> f64 {
+    /// By the rate of calls: the larger of that of the window and that of the last 1000 ms.
+    fn factor(&mut self, limit: f64) -> f64 {
         if self.factor_bucket.replace(self.current) != Some(self.current) {
-            let perceived = self.perceived(now);
-            self.factor = if perceived > limit { 1.0 - limit / perceived } else { 0.0 };
+            let perceived = f64::from(self.sum.total) / self.span();
+            let perceived = perceived.max(self.last_second(|bucket| bucket.total));
+            self.factor = (1.0 - limit / perceived).max(0.0);
         }
         self.factor
     }
@@ -245,7 +245,7 @@
 // --- 2. Learned limit ---
 
 /// A rate limit learned from what becomes of the calls.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct LearnedLimit {
     rate: f64,
     /// What the copy may need of a quota; 0 where there is none.
@@ -262,14 +262,7 @@
     /// Quotas count requests of the first tier; below it calls are more, and no part of a quota can be told.
     fn new(settings: &Settings, quota: Option<f64>) -> Self {
         let Some(quota) = quota.filter(|&quota| settings.tier == 0 && quota > 0.0) else {
-            return Self {
-                rate: f64::MAX,
-                full: 0.0,
-                fair: f64::MAX,
-                quota: None,
-                ceiling: f64::MAX,
-                usual: 0.0,
-            };
+            return Self { rate: f64::MAX, fair: f64::MAX, ceiling: f64::MAX, ..Self::default() };
         };
         let fair = quota / f64::from(settings.copies);
         let with_chance = |part: f64| part + CHANCE * (part / WINDOW_S).sqrt();
@@ -278,6 +271,22 @@
         Self { rate, full: rate, fair, quota: Some(with_chance(fair)), ceiling, usual: 0.0 }
     }
 
+    /// The limits of the tenants and, last, that of all together: at first what the copy may need of them all, in
+    /// congestion less.
+    fn all(settings: &Settings) -> Vec<Self> {
+        let quotas = settings.tenants.iter().map(|tenant| tenant.quota);
+        let mut limits: Vec<_> = quotas.clone().map(|quota| Self::new(settings, quota)).collect();
+        let mut shared = Self::new(settings, quotas.sum());
+        if shared.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
+            let fair = shared.fair;
+            let rate = fair * uneven(settings.copies);
+            let ceiling = rate.max(fair * (1.0 + EXCESS * fair / (fair + NOTICE)));
+            shared = Self { rate, full: rate, quota: Some(fair), ceiling, ..shared };
+        }
+        limits.push(shared);
+        limits
+    }
+
     fn rise(&mut self) {
         // Up to what is within the quotas the calls denied are the ones that count: come back from a jam faster.
         let rise = if self.rate < self.full { RISE_BELOW } else { RISE };
@@ -596,21 +605,10 @@
     /// The settings make no sense.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let mut limits: Vec<_> =
-            settings.tenants.iter().map(|tenant| LearnedLimit::new(&settings, tenant.quota)).collect();
-        let mut suppressors: Vec<_> =
-            limits.iter().map(|_| Suppressor { bucket_s: BUCKET_S, ..Suppressor::default() }).collect();
-        // The last is for all tenants together: at first what the copy may need of them all, in congestion less.
-        let mut all = LearnedLimit::new(&settings, settings.tenants.iter().map(|tenant| tenant.quota).sum());
-        if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
-            all.quota = Some(all.fair);
-            all.rate = all.fair * uneven(settings.copies);
-            all.full = all.rate;
-            all.ceiling = all.rate.max(all.fair * (1.0 + EXCESS * all.fair / (all.fair + NOTICE)));
-        }
-        let bucket_s = BUCKET_S * (CALLS / (all.fair * WINDOW_S)).clamp(1.0, 4.0);
-        suppressors.push(Suppressor { bucket_s, ..Suppressor::default() });
-        limits.push(all);
+        let limits = LearnedLimit::all(&settings);
+        let mut suppressors: Vec<_> = limits.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
+        let all = limits.len() - 1;
+        suppressors[all].bucket_s *= (CALLS / (limits[all].fair * WINDOW_S)).clamp(1.0, 4.0);
         Ok(Self {
             rng: Rand64::new(u128::from(seed)),
             suppressors,
@@ -810,16 +808,14 @@
         let Self { suppressors, limits, rng, subset: Subset { had, .. }, .. } = self;
         let all = limits.len() - 1;
         // Each tenant's part of what they may send together is its own.
-        let LearnedLimit { rate, fair, .. } = limits[all];
-        let rate = rate * *had;
-        let level = (rate / fair).min(1.0);
+        let rate = limits[all].rate * *had;
+        let level = (rate / limits[all].fair).min(1.0);
         let own = suppressors[tenant].fits(now, limits[tenant].fair * level, rng);
-        let LearnedLimit { rate: limit, full, .. } = limits[tenant];
-        let mut admitted = suppressors[tenant].admit(now, limit, full, rng);
+        let mut admitted = suppressors[tenant].admit(now, &limits[tenant], rng);
         if admitted && all != tenant {
             // After a drop the window still holds what the old limit let in: by it alone all would wait for seconds.
             let room = suppressors[all].fits(now, rate, rng)
-                || suppressors[all].last_second(|bucket| bucket.total - bucket.declined) < rate;
+                || suppressors[all].last_second(|bucket| bucket.accepted) < rate;
             admitted = own || room;
             suppressors[all].count(admitted);
         }
