Keep a request's last useful time and the outcomes of its attempts in its entry

Cause: the time until which an answer is worth waiting for was worked out anew from arrival, deadline and class at each look, attempts had a state that their outcome tells, and the gate asked twice for what is left of the deadline. Change: an entry keeps that time from its arrival, an attempt keeps its outcome, the conditions that ended a function one by one stand together.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -481,13 +481,6 @@
 
 // --- 5. Request ledger ---
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AttemptState {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
 #[derive(Debug)]
 struct Attempt {
     slot: usize,
@@ -495,7 +488,7 @@
     sent: f64,
     /// Seconds that it was given.
     given: f64,
-    state: AttemptState,
+    ended: Option<Outcome>,
     withdrawn: bool,
 }
 
@@ -503,8 +496,8 @@
 struct Entry {
     class: ClassId,
     tenant: usize,
-    arrived: f64,
-    deadline: f64,
+    /// The time until which an answer is worth waiting for.
+    useful_until: f64,
     attempts: Vec<Attempt>,
     out: u32,
     closed: bool,
@@ -514,13 +507,13 @@
 impl Entry {
     /// The first attempt not proved never to have run: it binds those that follow.
     fn first_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|attempt| attempt.state != AttemptState::NeverRan)
+        self.attempts.iter().find(|attempt| attempt.ended.is_none_or(|outcome| !outcome.never_ran()))
     }
 
     /// Calls off the attempts still out, but for the one to keep.
     fn withdraw(&mut self, id: RequestId, keep: Option<AttemptNumber>, actions: &mut Vec<Action>) {
         for (number, attempt) in (0..).map(AttemptNumber).zip(&mut self.attempts) {
-            if Some(number) != keep && attempt.state == AttemptState::Out && !attempt.withdrawn {
+            if Some(number) != keep && attempt.ended.is_none() && !attempt.withdrawn {
                 attempt.withdrawn = true;
                 actions.push(Action::Withdraw { request: id, attempt: number });
             }
@@ -775,16 +768,18 @@
         if self.ledger.entries.contains_key(&request.id) {
             return;
         }
-        if request.class.0 >= self.settings.classes.len() {
+        let Some(class) = self.settings.classes.get(request.class.0) else {
             return actions.push(Action::Refuse { request: request.id, retry_after: None });
-        }
+        };
         let tenant = request.tenant.map_or(0, |TenantId(tenant)| tenant);
         let tenant = tenant.min(self.settings.tenants.len().saturating_sub(1));
+        let (aim, deadline) = (now + class.aim.as_secs_f64(), now + request.time_left.as_secs_f64());
+        // Where no deadline is passed on, a server's slot would be held for a client long gone.
+        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
         let entry = Entry {
             class: request.class,
             tenant,
-            arrived: now,
-            deadline: now + request.time_left.as_secs_f64(),
+            useful_until: if class.late_worth > 0.0 && !blind { deadline } else { deadline.min(aim) },
             attempts: Vec::new(),
             out: 0,
             closed: false,
@@ -827,15 +822,6 @@
         self.pick(now, id).is_some_and(|slot| self.send(now, id, slot, actions))
     }
 
-    /// The time until which an answer is worth waiting for.
-    fn useful_until(&self, entry: &Entry) -> f64 {
-        let class = &self.settings.classes[entry.class.0];
-        let aim = entry.arrived + class.aim.as_secs_f64();
-        // Where no deadline is passed on, a server's slot would be held for a client long gone.
-        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
-        if class.late_worth > 0.0 && !blind { entry.deadline } else { entry.deadline.min(aim) }
-    }
-
     /// Picks an upstream for a request: where it may go at all if it may have run, else by its zone.
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let entry = self.ledger.entries.get(&id)?;
@@ -950,12 +936,14 @@
         if !self.cold_allows(now, slot) {
             return false;
         }
-        let Some(entry) = self.ledger.entries.get(&id) else { return false };
+        let Some(entry) = self.ledger.entries.get_mut(&id) else { return false };
         let class = &self.settings.classes[entry.class.0];
-        let upstream = &self.upstreams[slot];
+        let upstream = &mut self.upstreams[slot];
+        // A time-out at the deadline, off by a rounding, must not send the request once more.
+        let timeout = entry.useful_until - now;
         if entry.closed
             || entry.streaming
-            || now >= entry.deadline
+            || timeout < LEAST_S
             || !upstream.usable()
             || entry.attempts.len() >= self.settings.allowed.attempts as usize
             || (entry.out > 0 && !self.settings.allowed.second_copies)
@@ -963,18 +951,11 @@
         {
             return false;
         }
-        let until = self.useful_until(entry);
-        let timeout = until - now;
         // A repeat whose connection comes up after the window would run again.
         let start_within = match (class.effect, entry.first_run()) {
             (Effect::Keyed { window, .. }, Some(first)) => first.sent + window.as_secs_f64() - now,
             _ => timeout,
         };
-        // A time-out at the deadline, off by a rounding, must not send the request once more.
-        if timeout < LEAST_S {
-            return false;
-        }
-        let upstream = &mut self.upstreams[slot];
         if upstream.in_flight == 0 {
             upstream.heard = now;
         }
@@ -992,13 +973,12 @@
             group.warm_sends += 1;
         }
         let member = upstream.member;
-        let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
         entry.attempts.push(Attempt {
             slot,
             member,
             sent: now,
             given: timeout,
-            state: AttemptState::Out,
+            ended: None,
             withdrawn: false,
         });
         entry.out += 1;
@@ -1010,17 +990,10 @@
 
     /// The ONE path that ends a request unserved: refused where that is true, failed otherwise.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
-        if entry.closed {
-            return;
-        }
+        let Some(entry) = self.ledger.entries.get(&id).filter(|entry| !entry.closed) else { return };
         let class = &self.settings.classes[entry.class.0];
         let harmless = entry.first_run().is_none()
-            || match class.effect {
-                Effect::Safe => true,
-                Effect::Keyed { scope, .. } => scope == DedupScope::All,
-                Effect::Unsafe => false,
-            };
+            || matches!(class.effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
         // Told to stay away past its time, a client never comes back; tries within an aim feed the congestion.
         let retry_after = self.settings.allowed.retry_after.map(|most| most.min(class.aim));
         let refusal = Action::Refuse { request: id, retry_after };
@@ -1044,12 +1017,10 @@
         let AttemptEnded { request: id, attempt: number, outcome, finished, .. } = ended;
         let took = ended.took.as_secs_f64();
         let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
-        let Some(attempt) = entry.attempts.get_mut(number.0 as usize) else { return };
-        if attempt.state != AttemptState::Out {
-            return;
-        }
+        let attempt = entry.attempts.get_mut(number.0 as usize).filter(|attempt| attempt.ended.is_none());
+        let Some(attempt) = attempt else { return };
         let slot = attempt.slot;
-        attempt.state = if outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
+        attempt.ended = Some(outcome);
         entry.out -= 1;
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
         let (class, tenant, given) = (entry.class, entry.tenant, attempt.given);
@@ -1060,17 +1031,16 @@
         // one tenant with short deadlines would pass for congestion and have all tenants denied.
         let short_deadline = matches!(outcome, Outcome::Error | Outcome::TimedOut)
             && given < self.latencies[class.0].seconds();
-        self.learn_outcome(now, slot, class, outcome, took, short_deadline);
-        let Upstream { member: Member { id: upstream, .. }, ejected_until, in_flight, .. } =
-            self.upstreams[slot];
-        if ejected_until > now && in_flight > 0 {
-            actions.push(Action::AbortConnects { upstream });
+        self.learn_outcome(now, slot, class, &ended, short_deadline);
+        let upstream = &self.upstreams[slot];
+        if upstream.ejected_until > now && upstream.in_flight > 0 {
+            actions.push(Action::AbortConnects { upstream: upstream.member.id });
         }
         if closed {
             self.close(id, actions);
         }
         let again = !closed && idle && self.try_again(now, id, outcome, actions);
-        if !closed && idle && !again {
+        if idle && !again {
             self.finish(id, actions);
         }
         // A call that was rejected and went elsewhere has met no congestion yet: behind a broken link or one
@@ -1084,14 +1054,12 @@
 
     fn try_again(&mut self, now: f64, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) -> bool {
         let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        if outcome == Outcome::NotSent || now >= self.useful_until(entry) {
-            return false;
-        }
-        if *self.ledger.budget(outcome) < 1.0 || !self.send_somewhere(now, id, actions) {
-            return false;
+        let useful = outcome != Outcome::NotSent && now < entry.useful_until;
+        let sent = useful && *self.ledger.budget(outcome) >= 1.0 && self.send_somewhere(now, id, actions);
+        if sent {
+            *self.ledger.budget(outcome) -= 1.0;
         }
-        *self.ledger.budget(outcome) -= 1.0;
-        true
+        sent
     }
 
     /// What an outcome tells of its upstream and of the zones; nothing if it was `short_deadline`.
@@ -1100,10 +1068,10 @@
         now: f64,
         slot: usize,
         class: ClassId,
-        outcome: Outcome,
-        took: f64,
+        ended: &AttemptEnded,
         short_deadline: bool,
     ) {
+        let (outcome, took) = (ended.outcome, ended.took.as_secs_f64());
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
@@ -1115,7 +1083,6 @@
         {
             upstream.connections = upstream.connections.saturating_sub(1);
         }
-        let home = upstream.home;
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
         if short_deadline || matches!(outcome, Outcome::NotSent | Outcome::Withdrawn) {
             return;
@@ -1153,13 +1120,14 @@
             if upstream.returning >= 1.0 {
                 upstream.ejection_s = EJECTION_S.0;
             }
-        } else if failed {
-            self.eject(now, slot, out_of_reach);
         }
         let congested = !matches!(outcome, Outcome::Good | Outcome::Error);
-        let group = if home { &mut self.subset.home } else { &mut self.subset.away };
+        let group = if upstream.home { &mut self.subset.home } else { &mut self.subset.away };
         let delay = if congested { took.max(aim) } else { took } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
+        if failed {
+            self.eject(now, slot, out_of_reach);
+        }
     }
 
     /// What the end of a call tells of the congestion that it met, and so of the limits.
