Keep upstreams in a slab and share the subset's members instead of taking them out

Cause: places of upstreams were handed out and taken back by hand, the subset was laid out twice over for its two groups, its members were taken out of it for each pick and put back, and its size, shares and the upstreams' kinds were stored beside what tells them. Change: slab keeps the places, one pass sorts the upstreams, members are shared slices, the slowness of kinds is kept by kind, one function draws the arc.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,14 +11,17 @@
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use oorandom::Rand64;
 use rustc_hash::FxHashMap;
+use slab::Slab;
 
 use crate::interface::{
-    Action, Allowed, AttemptEnded, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event,
-    ListUpdate, Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time,
+    Action, Allowed, AttemptEnded, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event, KindId,
+    ListUpdate, Member, Outcome, Phase, Request, RequestId, Rules, Settings, SettingsError, TenantId, Time,
     UpstreamId,
 };
 
@@ -325,14 +328,13 @@
 /// The copy's part of the tier.
 #[derive(Debug, Default)]
 struct Subset {
-    /// Members of the own zone.
+    /// Members of the own zone, and of the others.
     home: Group,
-    /// Members of other zones.
     away: Group,
-    /// The part of the calls that stays in the own zone; `None` before the first list.
+    /// The part of the ready upstreams that stands in the own zone.
+    even: f64,
+    /// The part of the calls that stays there; `None` before the first list.
     stay: Option<f64>,
-    /// Members in all.
-    size: usize,
     /// Upstreams ready in the first list, and the part of their capacity that is still had.
     first: Option<usize>,
     had: f64,
@@ -342,9 +344,7 @@
 
 #[derive(Debug, Default)]
 struct Group {
-    /// Upstreams of the group's zones, members or not.
-    listed: usize,
-    members: Vec<usize>,
+    members: Arc<[usize]>,
     /// Calls a second to a warm member, for the cold ones to go by.
     warm_rate: f64,
     /// Calls to warm members since the last sweep.
@@ -358,31 +358,30 @@
     /// and no copy is told: from an even spread on, more stays at home for as long as home is no slower than
     /// elsewhere.
     fn learn_stay(&mut self, price: f64, rng: &mut Rand64) {
-        let even = self.even();
         let Some(stay) = &mut self.stay else { return };
         let worse = self.home.delay > self.away.delay + WORSE + price * WORSE_PRICE;
         let step = if worse { -STAY_STEPS.1 } else { STAY_STEPS.0 };
-        *stay = (*stay + step * between(rng, (0.5, 1.5))).clamp(even.min(1.0), 1.0);
+        *stay = (*stay + step * between(rng, (0.5, 1.5))).clamp(self.even, 1.0);
     }
 
-    fn even(&self) -> f64 {
-        let (home, away) = (self.home.listed as f64, self.away.listed as f64);
-        home / (home + away).max(1.0)
+    fn size(&self) -> usize {
+        self.home.members.len() + self.away.members.len()
     }
 }
 
-/// The part of `count` upstreams that copy `index` of `copies` sends to: an arc of a ring. The starts of the
-/// copies are evenly spaced; a stride spreads neighbours in number, which may share a zone, over the ring.
-fn arc(index: u32, copies: u32, sharers: f64, count: usize) -> impl Iterator<Item = usize> {
-    let size =
-        ((count as f64 * COVER / sharers.max(1.0)).ceil() as usize).clamp(SUBSET_LEAST.min(count), count);
-    let mut stride = (f64::from(copies) * 0.618).round().max(1.0) as u64;
-    while gcd(stride, u64::from(copies)) != 1 {
+/// The part of some upstreams that a copy sends to where so many copies share them: an arc of a ring. The starts of
+/// the copies are evenly spaced; a stride spreads neighbours in number, which may share a zone, over the ring.
+fn arc(settings: &Settings, sharers: f64, slots: &[usize]) -> Arc<[usize]> {
+    let (count, copies) = (slots.len(), u64::from(settings.copies));
+    let size = (count as f64 * COVER / sharers.max(1.0)).ceil() as usize;
+    let mut stride = (copies as f64 * 0.618).round().max(1.0) as u64;
+    while gcd(stride, copies) != 1 {
         stride += 1;
     }
-    let place = u64::from(index) * stride % u64::from(copies);
-    let start = (place * count as u64 / u64::from(copies)) as usize;
-    (0..size).map(move |step| (start + step) % count)
+    let place = u64::from(settings.index) * stride % copies;
+    let start = (place * count as u64 / copies) as usize;
+    let around = slots.iter().cycle().skip(start);
+    around.take(size.clamp(SUBSET_LEAST.min(count), count)).copied().collect()
 }
 
 fn gcd(a: u64, b: u64) -> u64 {
@@ -397,8 +396,6 @@
     member: Member,
     listed: bool,
     home: bool,
-    /// Its place in the slowness of kinds.
-    kind: usize,
     in_flight: u32,
     /// Connections thought to be open, and when one was last used.
     connections: u32,
@@ -426,7 +423,6 @@
             member,
             listed: true,
             home: false,
-            kind: 0,
             in_flight: 0,
             connections: 0,
             used: now,
@@ -457,13 +453,14 @@
     fn warmth(&self, now: f64, settings: &Settings) -> f64 {
         let Some(started) = self.member.started else { return 1.0 };
         let age = (now - started.as_secs_f64()).max(0.0);
-        let share = settings.rules.cold_share;
-        let time = settings.rules.cold_time.as_secs_f64().max(1e-6);
-        (share + (1.0 - share) * age / time).min(1.0)
+        let Rules { cold_share, cold_time, .. } = settings.rules;
+        (cold_share + (1.0 - cold_share) * age / cold_time.as_secs_f64().max(1e-6)).min(1.0)
     }
 
-    fn stalled(&self, now: f64, usual: f64) -> bool {
-        self.in_flight > 0 && now - self.heard > (usual * STALL_TIMES).max(STALL_S)
+    /// Whether it is neither ejected nor stalled, where calls usually take so long.
+    fn healthy(&self, now: f64, usual: f64) -> bool {
+        let stalled = self.in_flight > 0 && now - self.heard > (usual * STALL_TIMES).max(STALL_S);
+        self.ejected_until <= now && !stalled
     }
 
     /// Whether an open connection has room for another attempt.
@@ -572,9 +569,8 @@
     suppressors: Vec<Suppressor>,
     limits: Vec<LearnedLimit>,
     subset: Subset,
-    upstreams: Vec<Upstream>,
-    slots: FxHashMap<UpstreamId, usize>,
-    free: Vec<usize>,
+    upstreams: Slab<Upstream>,
+    slots: BTreeMap<UpstreamId, usize>,
     ready: Vec<usize>,
     /// Share of the calls that met congestion lately, the same of those served, and the time of the next drop for it.
     congestion: f64,
@@ -582,9 +578,9 @@
     drop_after: f64,
     tier_failures: f64,
     tier_slowness: f64,
-    /// Slowness of each kind of machine and, last, of those of no known kind: what is expected of an upstream
+    /// Slowness of the kinds of machine measured, and of those of no known kind: what is expected of an upstream
     /// not yet measured.
-    kind_slowness: Vec<f64>,
+    kind_slowness: FxHashMap<Option<KindId>, f64>,
     latencies: Vec<Latency>,
     ledger: Ledger,
     discovery: Discovery,
@@ -607,16 +603,15 @@
             suppressors,
             limits,
             subset: Subset { had: 1.0, ..Subset::default() },
-            upstreams: Vec::new(),
-            slots: FxHashMap::default(),
-            free: Vec::new(),
+            upstreams: Slab::new(),
+            slots: BTreeMap::new(),
             ready: Vec::new(),
             congestion: 0.0,
             slowed: 0.0,
             drop_after: 0.0,
             tier_failures: 0.0,
             tier_slowness: 1.0,
-            kind_slowness: vec![1.0; settings.kinds + 1],
+            kind_slowness: FxHashMap::default(),
             latencies: vec![Latency::default(); settings.classes.len()],
             ledger: Ledger { repeats: REPEATS.1 / 2.0, reroutes: REROUTES.1 / 2.0, ..Ledger::default() },
             discovery: Discovery::default(),
@@ -668,7 +663,7 @@
 
     fn learn_list(&mut self, now: f64, update: ListUpdate, actions: &mut Vec<Action>) {
         if matches!(update, ListUpdate::Whole(_) | ListUpdate::StaleCopy(_)) {
-            self.upstreams.iter_mut().for_each(|upstream| upstream.listed = false);
+            self.upstreams.iter_mut().for_each(|(_, upstream)| upstream.listed = false);
         }
         if matches!(update, ListUpdate::Whole(_) | ListUpdate::Patch(_)) {
             self.discovery = Discovery { subscribed: true, ..Discovery::default() };
@@ -705,60 +700,38 @@
                 upstream.restarted(now, &mut self.rng);
             }
         } else if member.phase != Phase::Gone {
-            let upstream = Upstream::new(member, now, &mut self.rng);
-            let slot = self.free.pop().unwrap_or(self.upstreams.len());
-            if slot == self.upstreams.len() {
-                self.upstreams.push(upstream);
-            } else {
-                self.upstreams[slot] = upstream;
-            }
+            let slot = self.upstreams.insert(Upstream::new(member, now, &mut self.rng));
             self.slots.insert(member.id, slot);
         }
     }
 
     /// Lays out the subset anew; only a list event calls it.
     fn rebuild(&mut self, actions: &mut Vec<Action>) {
-        let mut order: Vec<(UpstreamId, usize)> = self.slots.iter().map(|(&id, &slot)| (id, slot)).collect();
-        order.sort_unstable();
         self.ready.clear();
         self.largest_weight = 1e-9;
-        let (mut home, mut away) = (Vec::new(), Vec::new());
-        for (id, slot) in order {
+        self.slots.retain(|&id, &mut slot| {
             let upstream = &mut self.upstreams[slot];
-            upstream.kind =
-                upstream.member.kind.map_or(self.settings.kinds, |kind| kind.0.min(self.settings.kinds));
-            if !upstream.usable() {
-                if upstream.in_flight > 0 {
-                    actions.push(Action::AbortConnects { upstream: id });
-                }
-                if !upstream.listed && upstream.in_flight == 0 {
-                    self.slots.remove(&id);
-                    self.free.push(slot);
-                }
-                continue;
+            if upstream.usable() {
+                upstream.home = upstream.member.zone == Some(self.settings.zone);
+                self.largest_weight = self.largest_weight.max(upstream.member.weight);
+                self.ready.push(slot);
+            } else if upstream.in_flight > 0 {
+                actions.push(Action::AbortConnects { upstream: id });
+            } else if !upstream.listed {
+                self.upstreams.remove(slot);
+                return false;
             }
-            upstream.home = upstream.member.zone == Some(self.settings.zone);
-            self.largest_weight = self.largest_weight.max(upstream.member.weight);
-            self.ready.push(slot);
-            if upstream.home { home.push(slot) } else { away.push(slot) }
-        }
-        if !self.ready.is_empty() {
-            self.subset.first.get_or_insert(self.ready.len());
-        }
-        self.subset.home.listed = home.len();
-        self.subset.away.listed = away.len();
-        if self.subset.stay.is_none() {
-            // Below the first tier the clients stand where the tier above was spread to.
-            self.subset.stay = Some(if self.settings.tier == 0 { self.subset.even() } else { 1.0 });
-        }
-        let (index, copies) = (self.settings.index, self.settings.copies);
-        let here = f64::from(copies) / self.settings.zones as f64;
-        let lay = |slots: &[usize], sharers| {
-            arc(index, copies, sharers, slots.len()).map(|place| slots[place]).collect()
-        };
-        self.subset.home.members = if home.is_empty() { home } else { lay(&home, here) };
-        self.subset.away.members = if away.is_empty() { away } else { lay(&away, f64::from(copies)) };
-        self.subset.size = self.subset.home.members.len() + self.subset.away.members.len();
+            true
+        });
+        let ready = Some(self.ready.len()).filter(|&count| count > 0);
+        self.subset.first = self.subset.first.or(ready);
+        let (home, away): (Vec<_>, Vec<_>) = self.ready.iter().partition(|&&slot| self.upstreams[slot].home);
+        self.subset.even = home.len() as f64 / self.ready.len().max(1) as f64;
+        // Below the first tier the clients stand where the tier above was spread to.
+        self.subset.stay.get_or_insert(if self.settings.tier == 0 { self.subset.even } else { 1.0 });
+        let copies = f64::from(self.settings.copies);
+        self.subset.home.members = arc(&self.settings, copies / self.settings.zones as f64, &home);
+        self.subset.away.members = arc(&self.settings, copies, &away);
     }
 
     // --- A request's way ---
@@ -840,19 +813,15 @@
     /// Two draws from the own zone's members or, for what the own zone's suppressor declines, from the others;
     /// then whatever is left.
     fn pick_plain(&mut self, now: f64, id: RequestId) -> Option<usize> {
-        let home = std::mem::take(&mut self.subset.home.members);
-        let away = std::mem::take(&mut self.subset.away.members);
+        let home = Arc::clone(&self.subset.home.members);
+        let away = Arc::clone(&self.subset.away.members);
         let at_home =
             away.is_empty() || (!home.is_empty() && self.rng.rand_float() < self.subset.stay.unwrap_or(1.0));
         let (first, second) = if at_home { (&home, &away) } else { (&away, &home) };
-        let picked = self
-            .draw_two(now, id, first)
+        self.draw_two(now, id, first)
             .or_else(|| self.draw_two(now, id, second))
             .or_else(|| self.any_left(now, id, first))
-            .or_else(|| self.any_left(now, id, second));
-        self.subset.home.members = home;
-        self.subset.away.members = away;
-        picked
+            .or_else(|| self.any_left(now, id, second))
     }
 
     /// The less busy of two random members, by own calls in flight. Where both are busier than the members
@@ -860,16 +829,13 @@
     /// pile on a server by chance until it chokes.
     fn draw_two(&mut self, now: f64, id: RequestId, from: &[usize]) -> Option<usize> {
         let mut best: Option<usize> = None;
-        let average = f64::from(self.subset.in_flight) / self.subset.size.max(1) as f64;
+        let average = f64::from(self.subset.in_flight) / self.subset.size().max(1) as f64;
         for _ in 0..PAIRS {
-            for _ in 0..2 {
-                let Some(slot) = self.draw(now, id, from) else { continue };
-                let cost = |slot: usize| self.upstreams[slot].cost(now, &self.settings);
-                if best.is_none_or(|best| cost(slot) < cost(best)) {
-                    best = Some(slot);
-                }
-            }
-            if best.is_none_or(|best| self.upstreams[best].cost(now, &self.settings) <= average) {
+            let pair = [self.draw(now, id, from), self.draw(now, id, from)];
+            let cost = |slot: &usize| self.upstreams[*slot].cost(now, &self.settings);
+            let drawn = best.into_iter().chain(pair.into_iter().flatten());
+            best = drawn.min_by(|one, other| cost(one).total_cmp(&cost(other)));
+            if best.is_none_or(|best| cost(&best) <= average) {
                 break;
             }
         }
@@ -884,10 +850,7 @@
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
-            if upstream.ejected_until > now
-                || upstream.stalled(now, usual)
-                || self.ledger.tried(id, upstream.member.id)
-            {
+            if !upstream.healthy(now, usual) || self.ledger.tried(id, upstream.member.id) {
                 continue;
             }
             let chance = upstream.member.weight / self.largest_weight
@@ -903,7 +866,8 @@
 
     /// Latency over the usual: its own or, before the first, that of its kind.
     fn slowness(&self, upstream: &Upstream) -> f64 {
-        if upstream.measured > 0.0 { upstream.slowness } else { self.kind_slowness[upstream.kind] }
+        let kind = || self.kind_slowness.get(&upstream.member.kind).copied().unwrap_or(1.0);
+        if upstream.measured > 0.0 { upstream.slowness } else { kind() }
     }
 
     /// A member that may be sent to at all, the least busy, when draws found none.
@@ -1103,7 +1067,7 @@
         }
         if usual > 0.0 && matches!(outcome, Outcome::Good | Outcome::TimedOut) {
             let times = (took / usual).min(8.0);
-            let kind = &mut self.kind_slowness[upstream.kind];
+            let kind = self.kind_slowness.entry(upstream.member.kind).or_insert(1.0);
             if upstream.measured == 0.0 {
                 upstream.slowness = *kind;
             }
@@ -1205,9 +1169,10 @@
             let upstream = &self.upstreams[slot];
             if upstream.ejected_until > now { 0.0 } else { upstream.warmth(now, &self.settings) }
         };
-        let Subset { home, away, first, size, .. } = &self.subset;
-        let part = home.members.iter().chain(&away.members).map(has).sum::<f64>() / (*size).max(1) as f64;
-        let ready = self.ready.len() as f64 / first.unwrap_or(1).max(1) as f64;
+        let Subset { home, away, first, .. } = &self.subset;
+        let members = home.members.iter().chain(&*away.members);
+        let part = members.map(has).sum::<f64>() / self.subset.size().max(1) as f64;
+        let ready = self.ready.len() as f64 / first.unwrap_or(1) as f64;
         let calm = 2.0 * (1.0 - self.congestion / CONGESTED).clamp(0.0, 0.5);
         self.subset.had = (part * ready * (1.0 + SPARE * calm)).clamp(HAD_LEAST, 1.0);
         self.subset.learn_stay(self.settings.prices.cross_zone, &mut self.rng);
