Take new settings while running, with all that was learned and all requests in flight kept

Change: Event::SettingsChanged. Positions of classes, tenants, zones and kinds go on, which Settings::succeeds checks beforehand with a typed error. Each limit keeps its part of the full rate, the subset is laid out anew, requests held keep their time, and one whose class changes its effect is repeated under neither rule. The property test takes changes of settings among its steps and holds requests to all effects in force since they came; the budget of cold upstreams holds across a change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -248,7 +248,7 @@
 // --- 2. Learned limit ---
 
 /// A rate limit learned from what becomes of the calls.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Copy, Default)]
 struct LearnedLimit {
     rate: f64,
     /// What the copy may need of a quota; 0 where there is none.
@@ -290,6 +290,16 @@
         limits
     }
 
+    /// This limit in place of another, of whose full rate it had learned to let through a part.
+    fn succeed(self, old: &Self) -> Self {
+        let rate = match (self.quota, old.quota) {
+            (Some(_), Some(_)) => (self.full * (old.rate / old.full).max(0.0)).min(self.ceiling),
+            (None, None) => old.rate,
+            _ => self.rate,
+        };
+        Self { rate, usual: old.usual, ..self }
+    }
+
     fn rise(&mut self) {
         // Up to what is within the quotas the calls denied are the ones that count: come back from a jam faster.
         let rise = if self.rate < self.full { RISE_BELOW } else { RISE };
@@ -492,6 +502,8 @@
 #[derive(Debug)]
 struct Entry {
     class: ClassId,
+    /// That of its class when it arrived, or the strictest.
+    effect: Effect,
     tenant: usize,
     /// The time until which an answer is worth waiting for.
     useful_until: f64,
@@ -628,10 +640,8 @@
                 actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
                 self.subscribe(now, actions);
             }
-            Event::DiscoveryMoved => {
-                self.discovery = Discovery::default();
-                self.subscribe(now, actions);
-            }
+            Event::DiscoveryMoved => self.subscribe_anew(now, actions),
+            Event::SettingsChanged(settings) => self.reconfigure(now, *settings, actions),
             Event::List(update) => self.learn_list(now, update, actions),
             Event::Request(request) => self.take(now, request, actions),
             Event::StreamStarted { request, attempt } => {
@@ -648,8 +658,50 @@
         }
     }
 
+    /// Puts new settings in force. What was learned stays, and so do the requests held; settings that cannot succeed
+    /// those in force are passed over.
+    fn reconfigure(&mut self, now: f64, settings: Settings, actions: &mut Vec<Action>) {
+        if settings.succeeds(&self.settings).is_err() {
+            return;
+        }
+        for entry in self.ledger.entries.values_mut() {
+            // A request that began under one rule and goes on under another is repeated under neither.
+            let number = entry.class.0;
+            if settings.classes[number].effect != self.settings.classes[number].effect {
+                entry.effect = Effect::Unsafe;
+            }
+        }
+        // New tenants stand behind the others and before the limit of all.
+        let limits = LearnedLimit::all(&settings);
+        let all = self.limits.len() - 1;
+        let added = &limits[all..settings.tenants.len()];
+        self.suppressors.splice(all..all, added.iter().map(|_| Suppressor::new(BUCKET_S)));
+        self.limits.splice(all..all, added.iter().copied());
+        for (old, new) in self.limits.iter_mut().zip(limits) {
+            *old = new.succeed(old);
+        }
+        self.latencies.resize(settings.classes.len(), Latency::default());
+        if settings.zone != self.settings.zone {
+            // What was learned of the own zone and of the others tells nothing of the new ones.
+            let Subset { first, had, in_flight, .. } = self.subset;
+            self.subset = Subset { first, had, in_flight, ..Subset::default() };
+        }
+        let asks = |settings: &Settings| (settings.discovery, settings.rules.ask_within);
+        let asks_anew = asks(&settings) != asks(&self.settings);
+        self.settings = settings;
+        self.rebuild(actions);
+        if asks_anew {
+            self.subscribe_anew(now, actions);
+        }
+    }
+
     // --- Discovery ---
 
+    fn subscribe_anew(&mut self, now: f64, actions: &mut Vec<Action>) {
+        self.discovery = Discovery::default();
+        self.subscribe(now, actions);
+    }
+
     fn subscribe(&mut self, now: f64, actions: &mut Vec<Action>) {
         if self.settings.discovery == DiscoveryMode::Subscribe {
             actions.push(Action::Subscribe);
@@ -705,7 +757,7 @@
         }
     }
 
-    /// Lays out the subset anew; only a list event calls it.
+    /// Lays out the subset anew, by a list or new settings.
     fn rebuild(&mut self, actions: &mut Vec<Action>) {
         self.ready.clear();
         self.largest_weight = 1e-9;
@@ -751,6 +803,7 @@
         let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
         let entry = Entry {
             class: request.class,
+            effect: class.effect,
             tenant,
             useful_until: if class.late_worth > 0.0 && !blind { deadline } else { deadline.min(aim) },
             attempts: Vec::new(),
@@ -798,8 +851,7 @@
     /// Picks an upstream for a request: where it may go at all if it may have run, else by its zone.
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let entry = self.ledger.entries.get(&id)?;
-        let effect = self.settings.classes[entry.class.0].effect;
-        let first = entry.first_run();
+        let (effect, first) = (entry.effect, entry.first_run());
         if first.is_none()
             || !matches!(effect, Effect::Keyed { scope: DedupScope::Zone | DedupScope::Cell, .. })
         {
@@ -901,7 +953,6 @@
             return false;
         }
         let Some(entry) = self.ledger.entries.get_mut(&id) else { return false };
-        let class = &self.settings.classes[entry.class.0];
         let upstream = &mut self.upstreams[slot];
         // A time-out at the deadline, off by a rounding, must not send the request once more.
         let timeout = entry.useful_until - now;
@@ -911,12 +962,12 @@
             || !upstream.usable()
             || entry.attempts.len() >= self.settings.allowed.attempts as usize
             || (entry.out > 0 && !self.settings.allowed.second_copies)
-            || !may_repeat(now, class.effect, entry.first_run(), &upstream.member)
+            || !may_repeat(now, entry.effect, entry.first_run(), &upstream.member)
         {
             return false;
         }
         // A repeat whose connection comes up after the window would run again.
-        let start_within = match (class.effect, entry.first_run()) {
+        let start_within = match (entry.effect, entry.first_run()) {
             (Effect::Keyed { window, .. }, Some(first)) => first.sent + window.as_secs_f64() - now,
             _ => timeout,
         };
@@ -955,11 +1006,11 @@
     /// The ONE path that ends a request unserved: refused where that is true, failed otherwise.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(entry) = self.ledger.entries.get(&id).filter(|entry| !entry.closed) else { return };
-        let class = &self.settings.classes[entry.class.0];
         let harmless = entry.first_run().is_none()
-            || matches!(class.effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
+            || matches!(entry.effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
         // Told to stay away past its time, a client never comes back; tries within an aim feed the congestion.
-        let retry_after = self.settings.allowed.retry_after.map(|most| most.min(class.aim));
+        let aim = self.settings.classes[entry.class.0].aim;
+        let retry_after = self.settings.allowed.retry_after.map(|most| most.min(aim));
         let refusal = Action::Refuse { request: id, retry_after };
         actions.push(if harmless { refusal } else { Action::Fail { request: id } });
         self.close(id, actions);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -150,7 +150,7 @@
     pub probe: f64,
 }
 
-/// What a copy is told once, at its start.
+/// What a copy is told at its start, and anew when it changes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// This copy's number, from 0.
@@ -201,6 +201,9 @@
     /// A class's aim or deadline is 0, or the aim lies past the deadline.
     #[error("class {0}: the aim and the deadline must be above 0, the aim not past the deadline")]
     ClassTimes(usize),
+    /// Positions that were given out are missing from settings that are to succeed others.
+    #[error("{0} are missing that the settings in force name")]
+    Fewer(&'static str),
     /// A fraction or a figure lies outside its range.
     #[error("{0} is out of range")]
     OutOfRange(&'static str),
@@ -286,6 +289,26 @@
     }
 }
 
+impl Settings {
+    /// Checks that these settings can be put in force in place of `old` while the copy runs: the positions of
+    /// classes, tenants, zones and kinds go on, new ones are appended. One that is no longer used keeps its place; a
+    /// tenant then has a quota of 0.
+    ///
+    /// # Errors
+    /// The settings make no sense, or positions are missing.
+    pub fn succeeds(&self, old: &Self) -> Result<(), SettingsError> {
+        self.validate()?;
+        let counts = [
+            ("classes", self.classes.len(), old.classes.len()),
+            ("tenants", self.tenants.len(), old.tenants.len()),
+            ("zones", self.zones, old.zones),
+            ("kinds", self.kinds, old.kinds),
+        ];
+        let missing = counts.into_iter().find(|(_, new, old)| new < old);
+        missing.map_or(Ok(()), |(name, ..)| Err(SettingsError::Fewer(name)))
+    }
+}
+
 fn in_range(value: f64, low: f64, high: f64, name: &'static str) -> Result<(), SettingsError> {
     if (low..=high).contains(&value) { Ok(()) } else { Err(SettingsError::OutOfRange(name)) }
 }
@@ -424,6 +447,9 @@
     List(ListUpdate),
     /// Discovery is to be had elsewhere from now on: a subscription where it was is about to end.
     DiscoveryMoved,
+    /// New settings are in force from now on; ignored unless they succeed those before, see [`Settings::succeeds`].
+    /// Requests held go on with the time that they were given; no rule on their effects is loosened for them.
+    SettingsChanged(Box<Settings>),
     /// A request was taken.
     Request(Request),
     /// A streamed answer has begun: the attempt belongs to the client now.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,6 +37,61 @@
         stale: bool,
     },
     Broken,
+    Reconfigure(Reconfigure),
+}
+
+/// New settings, drawn as what becomes of the old ones.
+#[derive(Debug, Clone)]
+struct Reconfigure {
+    class: usize,
+    effect: Effect,
+    late_worth: f64,
+    attempts: u32,
+    copies: u32,
+    index: u32,
+    zone: usize,
+    quota: Option<u32>,
+    second_copies: bool,
+    cancel: bool,
+    ask_within: u64,
+    /// A class and a tenant are added.
+    more: bool,
+}
+
+fn effect() -> impl Strategy<Value = Effect> {
+    let scope = prop_oneof![Just(DedupScope::All), Just(DedupScope::Zone), Just(DedupScope::Cell)];
+    prop_oneof![
+        1 => Just(Effect::Safe),
+        1 => Just(Effect::Unsafe),
+        2 => (scope, 50u64..1500).prop_map(|(scope, window)| Effect::Keyed { scope, window: millis(window) }),
+    ]
+}
+
+fn reconfigure() -> impl Strategy<Value = Reconfigure> {
+    let caps = (1u32..5, any::<bool>(), any::<bool>(), 1_000u64..20_000);
+    let place = (1u32..9, 0u32..9, 0usize..2);
+    let figures = (prop_oneof![Just(0.0), Just(0.5)], prop_oneof![Just(None), (0u32..500).prop_map(Some)]);
+    (0usize..5, effect(), caps, place, figures, any::<bool>()).prop_map(
+        |(class, effect, caps, place, figures, more)| {
+            let (attempts, second_copies, cancel, ask_within) = caps;
+            let (copies, index, zone) = place;
+            let (late_worth, quota) = figures;
+            Reconfigure {
+                class,
+                effect,
+                late_worth,
+                attempts,
+                copies,
+                index,
+                zone,
+                quota,
+                second_copies,
+                cancel,
+                ask_within,
+                more,
+            }
+        },
+    )
 }
 
 fn outcome() -> impl Strategy<Value = Outcome> {
@@ -61,6 +116,7 @@
             .prop_map(|(upstream, phase, restarted)| Step::Change { upstream, phase, restarted }),
         1 => (0u32..9, any::<bool>()).prop_map(|(keep, stale)| Step::Replace { keep, stale }),
         1 => Just(Step::Broken),
+        1 => reconfigure().prop_map(Step::Reconfigure),
     ]
 }
 
@@ -97,6 +153,8 @@
 
 struct Held {
     class: usize,
+    /// All that have been in force for it since it came.
+    effects: Vec<Effect>,
     deadline: Duration,
     attempts: Vec<Sent>,
     finals: u32,
@@ -155,18 +213,22 @@
                 assert!(held.attempts.len() < self.settings.allowed.attempts as usize);
                 let ran = |sent: &&Sent| sent.ended.is_none_or(|outcome| !outcome.never_ran());
                 if let Some(first) = held.attempts.iter().find(ran) {
-                    match self.settings.classes[held.class].effect {
-                        Effect::Safe => {}
-                        Effect::Unsafe => panic!("an unsafe request sent twice"),
-                        Effect::Keyed { scope, window } => {
-                            assert!(self.now <= first.at + window, "past the window");
-                            // A rounding is allowed.
-                            assert!(self.now + start_within <= first.at + window + Duration::from_micros(1));
-                            let (one, two) = (member(first.upstream.0), member(upstream.0));
-                            match scope {
-                                DedupScope::All => {}
-                                DedupScope::Zone => assert_eq!(one.zone, two.zone),
-                                DedupScope::Cell => assert_eq!(one.cell, two.cell),
+                    for effect in &held.effects {
+                        match *effect {
+                            Effect::Safe => {}
+                            Effect::Unsafe => panic!("an unsafe request sent twice"),
+                            Effect::Keyed { scope, window } => {
+                                assert!(self.now <= first.at + window, "past the window");
+                                // A rounding is allowed.
+                                assert!(
+                                    self.now + start_within <= first.at + window + Duration::from_micros(1)
+                                );
+                                let (one, two) = (member(first.upstream.0), member(upstream.0));
+                                match scope {
+                                    DedupScope::All => {}
+                                    DedupScope::Zone => assert_eq!(one.zone, two.zone),
+                                    DedupScope::Cell => assert_eq!(one.cell, two.cell),
+                                }
                             }
                         }
                     }
@@ -179,10 +241,10 @@
                 held.finals += 1;
                 assert!(held.finals == 1 && !held.over, "a second final answer");
                 let ran = held.attempts.iter().any(|sent| sent.ended.is_none_or(|o| !o.never_ran()));
-                let free = match self.settings.classes[held.class].effect {
+                let free = held.effects.iter().all(|effect| match effect {
                     Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. } => true,
                     Effect::Keyed { .. } | Effect::Unsafe => false,
-                };
+                });
                 assert!(free || !ran, "refused though it may have run");
             }
             Action::Fail { request } => {
@@ -277,6 +339,32 @@
         self.tell(Event::List(update));
     }
 
+    fn reconfigure(&mut self, new: &Reconfigure) {
+        let settings = &mut self.settings;
+        settings.classes[new.class].effect = new.effect;
+        settings.classes[new.class].late_worth = new.late_worth;
+        settings.allowed.attempts = new.attempts;
+        settings.allowed.second_copies = new.second_copies;
+        settings.allowed.cancel = new.cancel;
+        (settings.copies, settings.index, settings.zone) = (new.copies, new.index, ZoneId(new.zone));
+        if settings.discovery == DiscoveryMode::Subscribe {
+            settings.rules.ask_within = Some(millis(new.ask_within));
+        }
+        if new.more {
+            settings.classes.push(common::class(new.effect));
+            settings.tenants.push(Tenant { quota: None });
+        }
+        if let Some(tenant) = settings.tenants.last_mut() {
+            tenant.quota = new.quota.map(f64::from);
+        }
+        for held in self.held.values_mut() {
+            held.effects.push(settings.classes[held.class].effect);
+        }
+        let settings = settings.clone();
+        self.tell(Event::SettingsChanged(Box::new(settings)));
+        self.check_asked();
+    }
+
     fn step(&mut self, step: Step) {
         match step {
             Step::Pass(span) => self.pass(millis(span)),
@@ -284,12 +372,13 @@
                 let id = RequestId(self.next);
                 self.next += 1;
                 let deadline = self.now + millis(time_left);
-                let held = Held { class, deadline, attempts: Vec::new(), finals: 0, over: false };
+                let effects = vec![self.settings.classes[class].effect];
+                let held = Held { class, effects, deadline, attempts: Vec::new(), finals: 0, over: false };
                 self.held.insert(id, held);
                 self.tell(Event::Request(Request {
                     id,
                     class: ClassId(class),
-                    tenant: None,
+                    tenant: self.settings.tenants.len().checked_sub(1).map(TenantId),
                     key: None,
                     time_left: millis(time_left),
                     expected_work: None,
@@ -318,6 +407,7 @@
                 self.unasked = None;
                 self.tell(Event::List(ListUpdate::Patch(vec![member])));
             }
+            Step::Reconfigure(new) => self.reconfigure(&new),
             Step::Replace { keep, stale } => self.replace((0..keep).map(member).collect(), stale),
             Step::Broken => {
                 if self.settings.discovery == DiscoveryMode::Subscribe {
@@ -353,6 +443,7 @@
         gap in 2u64..40,
         cold in 1u32..7,
         refusing in any::<bool>(),
+        changes in proptest::option::of((reconfigure(), 1_000u64..5_000)),
     ) {
         let mut settings = settings(false, false);
         settings.rules.cold_share = 0.15;
@@ -364,6 +455,7 @@
         let list = (0..8).map(|id| Member { started: (id < cold).then_some(started), ..member(id) });
         world.replace(list.collect(), false);
         let mut sends: Vec<(Duration, u32)> = Vec::new();
+        let mut changed = false;
         while world.now < started + millis(6_000) {
             world.step(Step::Ask { class: 0, time_left: 500 });
             for (id, n) in world.outs() {
@@ -372,6 +464,11 @@
                 world.end(id, n, if refusing && cold_one { Outcome::Refused } else { Outcome::Good });
             }
             world.pass(millis(gap));
+            // One copy serves the whole tier here, before and after.
+            if let Some((new, _)) = changes.as_ref().filter(|(_, at)| !changed && world.now >= started + millis(*at)) {
+                changed = true;
+                world.reconfigure(&Reconfigure { copies: 1, index: 0, quota: None, ..new.clone() });
+            }
         }
         let window = rules.overload_window;
         let within = |id: u32, end: Duration| {
