--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, header};
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
@@ -16,7 +16,7 @@
 use crate::upstream::{self, Dial};
 
 /// A word from discovery: the whole list or what changed.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Update {
     /// The list's version.
     #[serde(default)]
@@ -43,7 +43,7 @@
 }
 
 /// An upstream as discovery lists it.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Endpoint {
     /// Its name, the same at every balancer.
     pub name: String,
--- /dev/null
+++ b/scale/src/main.rs
@@ -0,0 +1,3 @@
+//! The command-line program of the fleet model.
+
+fn main() {}
