Let discovery report through a trait, and keep the list in a module of its own

Cause: the watch and the list could only be used together with the driver, and so with clients' sockets.

Change: discovery::watch reports to any WatchEvents; Directory holds the names, numbers, addresses and readiness of the upstreams and turns updates into the module's terms; Subscription holds which watch stands, its number and the version; Clock and Permit have small modules of their own. The driver keeps what it did, by way of these.

--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -1,7 +1,6 @@
 //! The list of upstreams: its form and the watch on its changes.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +11,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
-use crate::driver::Driver;
+use crate::permit::Permit;
 use crate::upstream::{self, Dial};
 
 /// A word from discovery: the whole list or what changed.
@@ -82,40 +81,72 @@
 /// Bytes of one word at most, so that a broken discovery cannot fill the memory.
 const WORD_MOST: usize = 8 << 20;
 
+/// Why a watch ended.
 #[derive(Debug, Error)]
-enum WatchError {
+pub enum WatchError {
+    /// Discovery took no connection in time.
     #[error("no connection")]
     Connect,
+    /// No whole word came in time.
     #[error("silent for too long")]
     Silent,
+    /// Discovery answered with another status than 200.
     #[error("answered {0}")]
     Status(StatusCode),
+    /// The connection broke.
     #[error("{0}")]
     Http(#[from] hyper::Error),
+    /// Discovery ended it in order.
     #[error("ended")]
     Ended,
+    /// A word is longer than any list is.
     #[error("a word is too long")]
     LongWord,
+    /// A word is no update.
     #[error("a word is malformed: {0}")]
     Json(#[from] serde_json::Error),
 }
 
-/// Watches the list from `since` on until the watch ends, then tells the driver so.
-pub async fn watch(driver: Rc<Driver>, address: SocketAddr, since: u64, number: u64) {
-    let Err(error) = follow(&driver, address, since, number).await;
-    driver.watch_broke(number, &error.to_string());
+/// Names a watch; each of a copy has a higher number than those before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WatchNumber(pub u64);
+
+/// What a watch asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct WatchRequest {
+    /// Where discovery listens.
+    pub address: SocketAddr,
+    /// The version of the list in hand, 0 for none.
+    pub since: u64,
+    /// The watch.
+    pub number: WatchNumber,
+}
+
+/// The copy that a watch reports to.
+pub trait WatchEvents {
+    /// The watch has told this.
+    fn updated(&self, watch: WatchNumber, update: Update);
+    /// The watch has ended.
+    fn broke(&self, watch: WatchNumber, reason: &WatchError);
+    /// A descriptor for the watch, which is had in any case: without it drains would be missed.
+    fn reserve_descriptor(&self) -> Permit;
+}
+
+/// Watches the list until the watch ends, then reports that.
+pub async fn watch(events: impl WatchEvents, request: WatchRequest) {
+    let Err(error) = follow(&events, request).await;
+    events.broke(request.number, &error);
 }
 
 async fn follow(
-    driver: &Rc<Driver>,
-    address: SocketAddr,
-    since: u64,
-    number: u64,
+    events: &impl WatchEvents,
+    request: WatchRequest,
 ) -> Result<std::convert::Infallible, WatchError> {
+    let WatchRequest { address, since, number } = request;
     let mut silent_at = Instant::now() + FIRST_WORD;
     let dial = Dial { address, patience: FIRST_WORD };
     let mut conn =
-        upstream::connect(driver.reserved_permit(), dial).await.map_err(|_| WatchError::Connect)?;
+        upstream::connect(events.reserve_descriptor(), dial).await.map_err(|_| WatchError::Connect)?;
     let request = Request::get(format!("/catalog/members?follow=1&since={since}"))
         .header(header::HOST, address.to_string())
         .body(Full::<Bytes>::default())
@@ -135,14 +166,14 @@
         words.text.extend_from_slice(&data);
         let mut spoke = false;
         while let Some(word) = words.next() {
-            driver.learn(number, serde_json::from_slice(&word)?);
+            events.updated(number, serde_json::from_slice(&word)?);
             spoke = true;
         }
         // An empty line is a word as well, but not one within another.
         if spoke || (words.text.is_empty() && data.contains(&b'\n')) {
             if !heard && !spoke {
                 // Nothing has changed since; the watch stands all the same.
-                driver.learn(number, Update { index: since, snapshot: false, endpoints: Vec::new() });
+                events.updated(number, Update { index: since, snapshot: false, endpoints: Vec::new() });
             }
             heard = true;
             silent_at = Instant::now() + SILENCE;
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -5,27 +5,28 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use peathatch::interface::{
-    AttemptEnded, AttemptNumber, Class, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase,
-    Request, RequestId, SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    AttemptEnded, AttemptNumber, Class, ClassId, DiscoveryMode, ListUpdate, Outcome, Request, RequestId,
+    SettingsError, TenantId, UpstreamId,
 };
 use peathatch::{Action, Balancer, Event};
 use peathatch_wirehost::setup::Names;
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::oneshot;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::{self, Endpoint, Update};
+use crate::directory::{Directory, Origin};
+use crate::discovery::{self, Update, WatchError, WatchEvents, WatchNumber};
+use crate::permit::Permit;
+use crate::subscription::Subscription;
 use crate::upstream::{self, Call, Connection, Ended, Job, Progress};
 
-/// How far the module's clock runs ahead of the program's start: upstreams that started before it have a
-/// time on that clock too. One that started earlier still has been warm for long.
-const CLOCK_LEAD: Duration = Duration::from_secs(3600);
 /// Part of the settings' idle limit after which a kept connection is closed: one that the upstream closes as a
 /// request is written ends that request as a reset.
 const KEEP_PART: f64 = 0.7;
@@ -34,25 +35,6 @@
 /// Descriptors that upstream connections leave to clients.
 const CLIENTS_PART: usize = 4;
 
-/// A socket counted against the budget for as long as it lives.
-#[derive(Debug)]
-pub struct Permit(Rc<Cell<usize>>);
-
-impl Permit {
-    /// Counts one more in `sockets`.
-    #[must_use]
-    pub fn of(sockets: &Rc<Cell<usize>>) -> Self {
-        sockets.set(sockets.get() + 1);
-        Self(Rc::clone(sockets))
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// The final answer to a client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -105,12 +87,6 @@
     progress: Rc<Progress>,
 }
 
-struct Listed {
-    address: SocketAddr,
-    since_ms: u64,
-    ready: bool,
-}
-
 struct Kept {
     connection: Connection,
     address: SocketAddr,
@@ -124,16 +100,10 @@
     /// The clients' ids of the requests held: upstreams count a second request with one of them as a copy.
     open: FxHashSet<Box<[u8]>>,
     next_request: u64,
-    /// The numbers of the upstreams listed. Names are ever new, so those of others are forgotten.
-    ids: FxHashMap<Box<str>, UpstreamId>,
-    listed: FxHashMap<UpstreamId, Listed>,
+    directory: Directory,
     /// Idle connections, the most recently used last.
     kept: FxHashMap<UpstreamId, Vec<Kept>>,
-    index: u64,
-    watch: Option<AbortHandle>,
-    watch_number: u64,
-    /// The watch where discovery was before it moved, until the new one has spoken.
-    old_watch: Option<AbortHandle>,
+    subscription: Subscription,
 }
 
 /// The state of a running balancer.
@@ -141,10 +111,7 @@
     core: RefCell<Core>,
     names: Names,
     classes: Vec<Class>,
-    zero: Instant,
-    /// Unix time in milliseconds at the zero of the module's clock.
-    zero_ms: u64,
-    discovery: Cell<SocketAddr>,
+    clock: Clock,
     connect_timeout: Duration,
     retry_after: Option<Duration>,
     keep: Duration,
@@ -160,7 +127,7 @@
     /// # Errors
     /// The settings make no sense.
     pub fn start(config: Config) -> Result<Rc<Self>, SettingsError> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clock = Clock::start();
         let loaded = config.loaded;
         let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
         let classes = loaded.settings.classes.clone();
@@ -177,21 +144,15 @@
             requests: FxHashMap::default(),
             open: FxHashSet::default(),
             next_request: 0,
-            ids: FxHashMap::default(),
-            listed: FxHashMap::default(),
+            directory: Directory::new(clock),
             kept: FxHashMap::default(),
-            index: 0,
-            watch: None,
-            watch_number: 0,
-            old_watch: None,
+            subscription: Subscription::new(config.discovery),
         };
         let driver = Rc::new(Self {
             core: RefCell::new(core),
             names: loaded.names,
             classes,
-            zero: Instant::now(),
-            zero_ms: unix.saturating_sub(CLOCK_LEAD).as_millis() as u64,
-            discovery: Cell::new(config.discovery),
+            clock,
             connect_timeout: loaded.connect_timeout,
             retry_after,
             keep,
@@ -203,8 +164,9 @@
         // serve is asked for whole: what it lacks may not change for long.
         if let Some(known) = config.known {
             let index = known.index;
-            driver.take_list(known, ListUpdate::StaleCopy);
-            driver.core.borrow_mut().index = if driver.can_serve() { index } else { 0 };
+            driver.take_list(&known, Origin::Configuration);
+            let since = if driver.can_serve() { index } else { 0 };
+            driver.core.borrow_mut().subscription.resume_from(since);
         }
         driver.handle(Event::Started);
         let sweeper = Rc::clone(&driver);
@@ -238,7 +200,7 @@
     /// Whether the list in hand names an upstream that requests can go to.
     #[must_use]
     pub fn can_serve(&self) -> bool {
-        self.core.borrow().listed.values().any(|listed| listed.ready)
+        self.core.borrow().directory.can_serve()
     }
 
     /// How a class's requests may be repeated and how long its clients wait.
@@ -247,10 +209,6 @@
         self.classes.get(class.0)
     }
 
-    fn now(&self) -> Time {
-        CLOCK_LEAD + self.zero.elapsed()
-    }
-
     // --- Sockets ---
 
     /// Counts a connection that is had in any case: a client's, which the machine has already accepted, or
@@ -318,11 +276,7 @@
     /// Whether discovery's last word allows new work for an upstream at this address.
     #[must_use]
     pub fn may_send(&self, upstream: UpstreamId, address: SocketAddr) -> bool {
-        self.core
-            .borrow()
-            .listed
-            .get(&upstream)
-            .is_some_and(|listed| listed.ready && listed.address == address)
+        self.core.borrow().directory.ready_address(upstream) == Some(address)
     }
 
     fn drop_old(&self) {
@@ -422,120 +376,31 @@
     /// Discovery is to be asked elsewhere from now on. The watch that stands goes on being heard until the new
     /// one has spoken, so that no drain is missed in between.
     pub fn discovery_moved(self: &Rc<Self>, address: SocketAddr) {
-        if self.discovery.replace(address) == address {
+        if !self.core.borrow_mut().subscription.move_to(address) {
             return;
         }
-        {
-            let mut core = self.core.borrow_mut();
-            if let Some(watch) = core.watch.take()
-                && let Some(older) = core.old_watch.replace(watch)
-            {
-                older.abort();
-            }
-        }
         self.handle(Event::DiscoveryMoved);
     }
 
-    /// Takes in a word of the watch of that number.
-    pub fn learn(self: &Rc<Self>, number: u64, update: Update) {
-        {
-            let mut core = self.core.borrow_mut();
-            // Where discovery was, versions may be ahead of those where it is, and what lies between them would
-            // never be asked for.
-            if number == core.watch_number {
-                core.index = update.index;
-                if let Some(old) = core.old_watch.take() {
-                    old.abort();
-                }
-            }
-        }
-        let kind = if update.snapshot { ListUpdate::Whole } else { ListUpdate::Patch };
-        self.take_list(update, kind);
-    }
-
-    /// The watch of that number has ended.
-    pub fn watch_broke(self: &Rc<Self>, number: u64, why: &str) {
-        {
+    fn take_list(self: &Rc<Self>, update: &Update, origin: Origin) {
+        let list = {
             let mut core = self.core.borrow_mut();
-            if core.watch_number != number {
-                return;
-            }
-            core.watch = None;
-        }
-        crate::log(format_args!("the watch on discovery broke: {why}"));
-        self.handle(Event::List(ListUpdate::Broken));
-    }
-
-    fn take_list(self: &Rc<Self>, update: Update, kind: fn(Vec<Member>) -> ListUpdate) {
-        let members = {
-            let mut core = self.core.borrow_mut();
-            let whole = !matches!(kind(Vec::new()), ListUpdate::Patch(_));
-            let mut seen = FxHashSet::default();
-            let mut members = Vec::with_capacity(update.endpoints.len());
-            for endpoint in &update.endpoints {
-                match self.member(&mut core, endpoint) {
-                    Some(member) => {
-                        seen.insert(member.id);
-                        members.push(member);
-                    }
-                    None => {
-                        crate::log(format_args!("passed over a malformed entry of the list: {endpoint:?}"))
-                    }
-                }
-            }
-            if whole {
-                core.listed.retain(|id, _| seen.contains(id));
+            let Core { directory, kept, .. } = &mut *core;
+            let change = directory.take(update, origin, &self.names);
+            for upstream in change.restarted {
+                kept.remove(&upstream);
             }
             // Nothing kept goes to an upstream that drains, is gone, or has moved.
-            let Core { kept, listed, ids, .. } = &mut *core;
-            ids.retain(|_, id| listed.contains_key(id));
-            kept.retain(|id, kept| match listed.get(id).filter(|listed| listed.ready) {
-                Some(listed) => {
-                    kept.retain(|kept| kept.address == listed.address);
+            kept.retain(|&upstream, kept| match directory.ready_address(upstream) {
+                Some(address) => {
+                    kept.retain(|kept| kept.address == address);
                     true
                 }
                 None => false,
             });
-            members
+            change.list
         };
-        self.handle(Event::List(kind(members)));
-    }
-
-    fn member(&self, core: &mut Core, endpoint: &Endpoint) -> Option<Member> {
-        let phase = match endpoint.status.as_str() {
-            "ready" => Phase::Ready,
-            "draining" => Phase::Draining,
-            "gone" => Phase::Gone,
-            _ => return None,
-        };
-        let id = core.id(&endpoint.name);
-        if phase == Phase::Gone {
-            core.listed.remove(&id);
-        } else {
-            // A drain holds, whatever has become of the address.
-            let known = core.listed.get(&id).filter(|_| phase == Phase::Draining).map(|known| known.address);
-            let address = endpoint.address.parse().ok().or(known)?;
-            let listed = Listed { address, since_ms: endpoint.since_ms, ready: phase == Phase::Ready };
-            let before = core.listed.insert(id, listed);
-            if before.is_some_and(|before| before.since_ms != endpoint.since_ms) {
-                // Its process is a new one; the old one took its connections along.
-                core.kept.remove(&id);
-            }
-        }
-        let weight = endpoint.weight;
-        Some(Member {
-            id,
-            zone: self.names.zones.get(&endpoint.zone).copied().map(ZoneId),
-            kind: self.names.kinds.get(&endpoint.kind).copied().map(KindId),
-            cell: endpoint.group,
-            phase,
-            weight: if weight.is_finite() && weight >= 0.0 { weight } else { 1.0 },
-            started: endpoint
-                .since_ms
-                .checked_sub(self.zero_ms)
-                .filter(|&since| since > 0)
-                .map(Duration::from_millis),
-        })
+        self.handle(Event::List(list));
     }
 
     // --- Events and actions ---
@@ -546,7 +411,7 @@
         core.events.push_back(event);
         let mut actions = Vec::new();
         while let Some(event) = core.events.pop_front() {
-            core.balancer.handle(self.now(), event, &mut actions);
+            core.balancer.handle(self.clock.now(), event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(&mut core, action);
             }
@@ -570,13 +435,8 @@
             Action::Refuse { request, retry_after } => core.answer(request, Answer::Refused { retry_after }),
             Action::Fail { request } => core.answer(request, Answer::Failed),
             Action::Subscribe => {
-                if let Some(watch) = core.watch.take() {
-                    watch.abort();
-                }
-                core.watch_number += 1;
-                let watch =
-                    discovery::watch(Rc::clone(self), self.discovery.get(), core.index, core.watch_number);
-                core.watch = Some(spawn_local(watch).abort_handle());
+                core.subscription
+                    .renew(|request| spawn_local(discovery::watch(Rc::clone(self), request)).abort_handle());
             }
             Action::AbortConnects { upstream } => {
                 // Until its first byte is written it waits for a connection, and can't have run.
@@ -617,8 +477,8 @@
     ) {
         let Some(held) = core.requests.get_mut(&request) else { return };
         let attempt = AttemptNumber(held.attempts.len() as u32);
-        let listed = core.listed.get(&upstream).filter(|listed| listed.ready && held.answer.is_some());
-        let Some(listed) = listed else {
+        let address = core.directory.ready_address(upstream).filter(|_| held.answer.is_some());
+        let Some(address) = address else {
             held.attempts.push(None);
             let finished = held.answer.is_none();
             return core.events.push_back(Event::AttemptEnded(AttemptEnded {
@@ -636,13 +496,32 @@
         let progress = Rc::new(Progress::default());
         held.attempts.push(Some(Out { upstream, end, progress: Rc::clone(&progress) }));
         held.out += 1;
-        let (address, call) = (listed.address, Rc::clone(&held.call));
+        let call = Rc::clone(&held.call);
         let start_by = until.min(asked + start_within);
         let job = Job { request, attempt, upstream, address, call, asked, until, start_by };
         spawn_local(upstream::attempt(Rc::clone(self), job, progress, ended));
     }
 }
 
+impl WatchEvents for Rc<Driver> {
+    fn updated(&self, watch: WatchNumber, update: Update) {
+        self.core.borrow_mut().subscription.heard(watch, update.index);
+        self.take_list(&update, Origin::Watch);
+    }
+
+    fn broke(&self, watch: WatchNumber, reason: &WatchError) {
+        if !self.core.borrow_mut().subscription.broke(watch) {
+            return;
+        }
+        crate::log(format_args!("the watch on discovery broke: {reason}"));
+        self.handle(Event::List(ListUpdate::Broken));
+    }
+
+    fn reserve_descriptor(&self) -> Permit {
+        self.reserved_permit()
+    }
+}
+
 impl Core {
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(held) = self.requests.get_mut(&id) else { return };
@@ -661,21 +540,6 @@
             self.open.remove(held.call.id.as_bytes());
         }
     }
-
-    /// The number of an upstream: from its name alone, so that all balancers sort them alike and a name that
-    /// comes back finds its number. Should two names meet, the later one takes the next free number.
-    fn id(&mut self, name: &str) -> UpstreamId {
-        if let Some(&id) = self.ids.get(name) {
-            return id;
-        }
-        let fnv = |hash: u32, byte: &u8| (hash ^ u32::from(*byte)).wrapping_mul(16_777_619);
-        let mut number = name.as_bytes().iter().fold(2_166_136_261, fnv);
-        while self.listed.contains_key(&UpstreamId(number)) {
-            number = number.wrapping_add(1);
-        }
-        self.ids.insert(name.into(), UpstreamId(number));
-        UpstreamId(number)
-    }
 }
 
 #[cfg(test)]
--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -7,11 +7,15 @@
 use std::fmt::Arguments;
 use std::io::Write;
 
+pub mod clock;
 pub mod config;
+pub mod directory;
 pub mod discovery;
 pub mod driver;
 pub mod framing;
+pub mod permit;
 pub mod server;
+pub mod subscription;
 pub mod upstream;
 
 /// Writes a line for the operator. A log that nobody reads any more must not end the program, as `eprintln!`
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -27,7 +27,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::driver::{Driver, Permit};
+use crate::driver::Driver;
+use crate::permit::Permit;
 
 /// Bytes of a body at most, either way.
 pub const BODY_MOST: usize = 64 * 1024;
