Leave a subscription that stands when new settings name another time to ask within

Cause: a changed time had every copy subscribe anew, which ends a watch before its successor has spoken. Change: only a copy without a subscription asks at once; a change of how lists come subscribes in any case. Result: tested both ways.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -686,8 +686,9 @@
             let Subset { first, had, in_flight, .. } = self.subset;
             self.subset = Subset { first, had, in_flight, ..Subset::default() };
         }
-        let asks = |settings: &Settings| (settings.discovery, settings.rules.ask_within);
-        let asks_anew = asks(&settings) != asks(&self.settings);
+        let other_time = settings.rules.ask_within != self.settings.rules.ask_within;
+        let asks_anew =
+            settings.discovery != self.settings.discovery || (other_time && !self.discovery.subscribed);
         self.settings = settings;
         self.rebuild(actions);
         if asks_anew {
--- a/tests/reconfigure.rs
+++ b/tests/reconfigure.rs
@@ -298,10 +298,16 @@
     asking.discovery = DiscoveryMode::Subscribe;
     asking.rules.ask_within = Some(millis(60_000));
     let mut bench = Bench::new(asking.clone(), 5, (0..4).map(member).collect());
+    // A subscription that stands goes on.
+    asking.rules.ask_within = Some(millis(50_000));
+    assert_eq!(change(&mut bench, &asking), []);
     bench.tell(Event::List(ListUpdate::Broken));
     bench.pass(millis(2_000));
     asking.rules.ask_within = Some(millis(1_000));
     assert!(change(&mut bench, &asking).contains(&Action::Subscribe));
     // The same settings once more ask for nothing.
     assert_eq!(change(&mut bench, &asking), []);
+    // Where lists came by themselves they must be asked for from now on.
+    let mut bench = Bench::new(settings(1000.0), 5, (0..4).map(member).collect());
+    assert!(change(&mut bench, &asking).contains(&Action::Subscribe));
 }
