Put a replaced configuration in force at SIGHUP, settings and discovery as a whole

Change: in_force.rs holds the configuration in force and makes the one that follows it: names keep their positions, new ones are appended, one that is gone is no longer accepted while its requests go on. reload.rs has the line and the typed errors. The driver tells the module, moves the watch and follows with time-outs, keep-alive, descriptors and load fields; a drain goes by the deadlines in force; a request that comes in across a change is read by what is in force when it is whole. Other names of zones or kinds have the list asked for whole. A file over 8 MiB is not read. name, listen, seed and fewer descriptors than are in use are named as waiting for a restart.

--- a/dahliahead/src/config.rs
+++ b/dahliahead/src/config.rs
@@ -1,7 +1,8 @@
 //! What a balancer is told at its start: the configuration file and the environment.
 
 use std::env;
-use std::fs;
+use std::fs::File;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -27,6 +28,12 @@
         /// Why.
         cause: std::io::Error,
     },
+    /// The file is larger than any configuration.
+    #[error("the configuration {path} is larger than {FILE_MOST} bytes")]
+    TooLarge {
+        /// The file.
+        path: PathBuf,
+    },
     /// The file is not the JSON that is expected.
     #[error("the configuration is malformed: {0}")]
     Json(#[from] serde_json::Error),
@@ -47,7 +54,7 @@
 }
 
 #[derive(Deserialize)]
-struct File {
+struct Text {
     #[serde(default)]
     name: String,
     listen: Option<String>,
@@ -101,14 +108,14 @@
         Self::parse(&text()?, |name| env::var(name).ok())
     }
 
-    /// Reads the file anew after it was replaced. Where discovery is, the new file says: the environment is
-    /// that of the start.
+    /// Reads the file anew after it was replaced. Where discovery is, the new file says: the environment is that of
+    /// the start.
     ///
     /// # Errors
     /// The file is missing or makes no sense.
     pub fn replaced() -> Result<Self, ConfigError> {
         let text = text()?;
-        let named = serde_json::from_str::<File>(&text)?.discovery;
+        let named = serde_json::from_str::<Text>(&text)?.discovery;
         Self::parse(&text, |name| match name {
             "PROXY_DISCOVERY" => named.clone().or_else(|| env::var(name).ok()),
             _ => env::var(name).ok(),
@@ -120,7 +127,7 @@
     /// # Errors
     /// The text makes no sense.
     pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
-        let file: File = serde_json::from_str(text)?;
+        let file: Text = serde_json::from_str(text)?;
         let loaded = setup::read(file.settings.get())?;
         loaded.settings.validate()?;
         let listen = variable("PROXY_LISTEN").or(file.listen);
@@ -144,12 +151,20 @@
     }
 }
 
+/// Bytes of the file at most, the list of upstreams included: as many as a word of discovery's may have.
+const FILE_MOST: u64 = 8 << 20;
 /// Fewer descriptors than this leave no room to serve anybody.
 const LEAST_SOCKETS: usize = 48;
 
 fn text() -> Result<String, ConfigError> {
     let path = PathBuf::from(env::var_os("PROXY_CONFIG").ok_or(ConfigError::NoPath)?);
-    fs::read_to_string(&path).map_err(|cause| ConfigError::Read { path, cause })
+    let mut text = String::new();
+    let read = File::open(&path).and_then(|file| file.take(FILE_MOST + 1).read_to_string(&mut text));
+    match read {
+        Ok(length) if length as u64 > FILE_MOST => Err(ConfigError::TooLarge { path }),
+        Ok(_) => Ok(text),
+        Err(cause) => Err(ConfigError::Read { path, cause }),
+    }
 }
 
 fn address(name: &'static str, value: Option<String>) -> Result<SocketAddr, ConfigError> {
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -9,27 +9,25 @@
 
 use bytes::Bytes;
 use peathatch::interface::{
-    AttemptEnded, AttemptNumber, Class, ClassId, DiscoveryMode, ListUpdate, Outcome, Request, RequestId,
-    SettingsError, TenantId, UpstreamId,
+    AttemptEnded, AttemptNumber, ClassId, ListUpdate, Outcome, Request, RequestId, SettingsError, TenantId,
+    UpstreamId,
 };
 use peathatch::{Action, Balancer, Event};
-use peathatch_wirehost::setup::Names;
 use rustc_hash::{FxHashMap, FxHashSet};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::directory::{Directory, Origin};
 use crate::discovery::{self, Update, WatchError, WatchEvents, WatchNumber};
+use crate::in_force::InForce;
 use crate::permit::Permit;
+use crate::reload::{Changes, ReloadError};
 use crate::subscription::Subscription;
 use crate::upstream::{self, Call, Connection, Ended, Job, Progress};
 
-/// Part of the settings' idle limit after which a kept connection is closed: one that the upstream closes as a
-/// request is written ends that request as a reset.
-const KEEP_PART: f64 = 0.7;
 /// Descriptors that are no connection: standard streams, listener, runtime.
 const OTHER_DESCRIPTORS: usize = 16;
 /// Descriptors that upstream connections leave to clients.
@@ -109,14 +107,10 @@
 /// The state of a running balancer.
 pub struct Driver {
     core: RefCell<Core>,
-    names: Names,
-    classes: Vec<Class>,
+    in_force: RefCell<Rc<InForce>>,
+    reconfigured: Notify,
     clock: Clock,
-    connect_timeout: Duration,
-    retry_after: Option<Duration>,
-    keep: Duration,
     sockets: Rc<Cell<usize>>,
-    sockets_most: usize,
     /// When the program ends, once that is known.
     ends: Cell<Option<Instant>>,
 }
@@ -126,43 +120,31 @@
     ///
     /// # Errors
     /// The settings make no sense.
-    pub fn start(config: Config) -> Result<Rc<Self>, SettingsError> {
+    pub fn start(mut config: Config) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::start();
-        let loaded = config.loaded;
-        let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
-        let classes = loaded.settings.classes.clone();
-        let retry_after = loaded.settings.allowed.retry_after;
-        let mut settings = loaded.settings;
-        if settings.discovery == DiscoveryMode::Push {
-            // Over HTTP these lists come on a watch too, but count as told without one, however lately it was asked.
-            settings.discovery = DiscoveryMode::Subscribe;
-            settings.rules.ask_within = None;
-        }
+        let (seed, known) = (config.seed, config.known.take());
+        let in_force = InForce::start(config);
         let core = Core {
-            balancer: Balancer::new(settings, config.seed)?,
+            balancer: Balancer::new(in_force.settings(), seed)?,
             events: VecDeque::new(),
             requests: FxHashMap::default(),
             open: FxHashSet::default(),
             next_request: 0,
             directory: Directory::new(clock),
             kept: FxHashMap::default(),
-            subscription: Subscription::new(config.discovery),
+            subscription: Subscription::new(in_force.discovery()),
         };
         let driver = Rc::new(Self {
             core: RefCell::new(core),
-            names: loaded.names,
-            classes,
+            in_force: RefCell::new(Rc::new(in_force)),
+            reconfigured: Notify::new(),
             clock,
-            connect_timeout: loaded.connect_timeout,
-            retry_after,
-            keep,
             sockets: Rc::new(Cell::new(0)),
             ends: Cell::new(None),
-            sockets_most: config.sockets.saturating_sub(OTHER_DESCRIPTORS),
         });
         // The subscription asks for what came after the list in hand, so that is taken in first. One that names nobody to
         // serve is asked for whole: what it lacks may not change for long.
-        if let Some(known) = config.known {
+        if let Some(known) = known {
             let index = known.index;
             driver.take_list(&known, Origin::Configuration);
             let since = if driver.can_serve() { index } else { 0 };
@@ -172,29 +154,35 @@
         let sweeper = Rc::clone(&driver);
         spawn_local(async move {
             loop {
-                sleep(sweeper.keep / 8).await;
+                // New settings may close sooner than the old ones.
+                let _ = timeout(sweeper.in_force().keep() / 8, sweeper.reconfigured.notified()).await;
                 sweeper.drop_old();
             }
         });
         Ok(driver)
     }
 
-    /// The names in the settings.
+    /// The configuration in force.
     #[must_use]
-    pub fn names(&self) -> &Names {
-        &self.names
+    pub fn in_force(&self) -> Rc<InForce> {
+        Rc::clone(&self.in_force.borrow())
     }
 
-    /// How long a connection may take to come up.
-    #[must_use]
-    pub fn connect_timeout(&self) -> Duration {
-        self.connect_timeout
-    }
-
-    /// How long a client that is refused is asked to stay away.
-    #[must_use]
-    pub fn retry_after(&self) -> Option<Duration> {
-        self.retry_after
+    /// Puts a configuration in force, whole or not at all; what is in flight goes on.
+    ///
+    /// # Errors
+    /// It cannot follow the one in force.
+    pub fn reconfigure(self: &Rc<Self>, config: Config) -> Result<Changes, ReloadError> {
+        let old = self.in_force();
+        let (new, changes) = old.succeeded_by(config, self.sockets.get() + OTHER_DESCRIPTORS)?;
+        let (discovery, settings) = (new.discovery(), new.settings());
+        self.in_force.replace(Rc::new(new));
+        if settings != old.settings() {
+            self.handle(Event::SettingsChanged(Box::new(settings)));
+        }
+        self.watch_anew(discovery, changes.renames_members());
+        self.reconfigured.notify_one();
+        Ok(changes)
     }
 
     /// Whether the list in hand names an upstream that requests can go to.
@@ -203,12 +191,6 @@
         self.core.borrow().directory.can_serve()
     }
 
-    /// How a class's requests may be repeated and how long its clients wait.
-    #[must_use]
-    pub fn class(&self, class: ClassId) -> Option<&Class> {
-        self.classes.get(class.0)
-    }
-
     // --- Sockets ---
 
     /// Counts a connection that is had in any case: a client's, which the machine has already accepted, or
@@ -221,23 +203,28 @@
     /// Whether so many sockets are open that those not in use must go.
     #[must_use]
     pub fn short_of_sockets(&self) -> bool {
-        self.sockets.get() >= self.sockets_most - self.sockets_most / (2 * CLIENTS_PART)
+        let most = self.sockets_most();
+        self.sockets.get() >= most - most / (2 * CLIENTS_PART)
     }
 
     /// Whether the last socket of the budget is taken.
     #[must_use]
     pub fn full(&self) -> bool {
-        self.sockets.get() > self.sockets_most
+        self.sockets.get() > self.sockets_most()
+    }
+
+    fn sockets_most(&self) -> usize {
+        self.in_force.borrow().sockets().saturating_sub(OTHER_DESCRIPTORS)
     }
 
     /// A socket for a connection of our own, if the budget has one: idle ones are closed to make room.
     #[must_use]
     pub fn permit(&self) -> Option<Permit> {
-        let most = self.sockets_most - self.sockets_most / CLIENTS_PART;
-        if self.sockets.get() >= most {
+        let most = self.sockets_most();
+        if self.sockets.get() >= most - most / CLIENTS_PART {
             self.drop_idle_most();
         }
-        (self.sockets.get() < self.sockets_most).then(|| self.reserved_permit())
+        (self.sockets.get() < most).then(|| self.reserved_permit())
     }
 
     /// Closes the idle connection to an upstream that was used least recently; tells whether there was one.
@@ -254,10 +241,11 @@
     /// A free connection to an upstream, the most recently used first.
     #[must_use]
     pub fn take_idle(&self, upstream: UpstreamId) -> Option<Connection> {
+        let keep = self.in_force.borrow().keep();
         let mut core = self.core.borrow_mut();
         let kept = core.kept.get_mut(&upstream)?;
         while let Some(last) = kept.pop() {
-            if last.connection.is_free() && last.since.elapsed() < self.keep {
+            if last.connection.is_free() && last.since.elapsed() < keep {
                 return Some(last.connection);
             }
         }
@@ -280,9 +268,10 @@
     }
 
     fn drop_old(&self) {
+        let keep = self.in_force.borrow().keep();
         let mut core = self.core.borrow_mut();
         for kept in core.kept.values_mut() {
-            kept.retain(|kept| kept.connection.is_free() && kept.since.elapsed() < self.keep);
+            kept.retain(|kept| kept.connection.is_free() && kept.since.elapsed() < keep);
         }
     }
 
@@ -373,20 +362,27 @@
 
     // --- Discovery ---
 
-    /// Discovery is to be asked elsewhere from now on. The watch that stands goes on being heard until the new
-    /// one has spoken, so that no drain is missed in between.
-    pub fn discovery_moved(self: &Rc<Self>, address: SocketAddr) {
-        if !self.core.borrow_mut().subscription.move_to(address) {
-            return;
+    /// Discovery is to be asked at this address from now on, and for the whole list if the one in hand was read by
+    /// other names. The watch that stands goes on being heard until the new one has spoken, so that no drain is
+    /// missed in between.
+    fn watch_anew(self: &Rc<Self>, address: SocketAddr, whole: bool) {
+        let moved = {
+            let mut core = self.core.borrow_mut();
+            if whole {
+                core.subscription.start_over();
+            }
+            core.subscription.move_to(address)
+        };
+        if moved || whole {
+            self.handle(Event::DiscoveryMoved);
         }
-        self.handle(Event::DiscoveryMoved);
     }
 
     fn take_list(self: &Rc<Self>, update: &Update, origin: Origin) {
         let list = {
             let mut core = self.core.borrow_mut();
             let Core { directory, kept, .. } = &mut *core;
-            let change = directory.take(update, origin, &self.names);
+            let change = directory.take(update, origin, self.in_force.borrow().names());
             for upstream in change.restarted {
                 kept.remove(&upstream);
             }
--- /dev/null
+++ b/dahliahead/src/in_force/tests.rs
@@ -0,0 +1,134 @@
+//! What of a configuration follows another, by position and by line.
+
+use super::*;
+use serde_json::{Value, json};
+
+fn text() -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:80", "discovery": "127.0.0.1:1", "seed": "1f",
+           "limits": {"sockets": 1024},
+           "settings": {
+               "balancers": 12, "me": 0, "zone": "north", "zones": ["north", "south"], "kinds": ["std"],
+               "lanes": [lane("read", "idempotent"), lane("pay", "at_most_once")],
+               "projects": [{"name": "acme", "quotaPerS": 5.0}, {"name": "zenith", "quotaPerS": 7.0}],
+               "discovery": "subscribe", "caps": {"tryLimit": 3},
+               "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 3.0, "overloadForS": 2.0}}})
+}
+
+fn lane(name: &str, effect: &str) -> Value {
+    json!({"name": name, "onTimeS": 1.0, "hardLimitS": 2.0, "effect": effect})
+}
+
+fn config(text: &Value) -> Config {
+    Config::parse(&text.to_string(), |_| None).expect("a sound configuration")
+}
+
+/// What is in force after a change of the configuration, and the line about it.
+fn changed(old: &InForce, change: impl FnOnce(&mut Value)) -> (InForce, String) {
+    let mut text = text();
+    change(&mut text);
+    let (new, changes) = old.succeeded_by(config(&text), 100).expect("it follows");
+    (new, changes.to_string())
+}
+
+/// Guards requests in flight against being taken for those of another class or tenant.
+#[test]
+fn positions_go_on_and_new_names_are_appended() {
+    let start = InForce::start(config(&text()));
+    let (next, line) = changed(&start, |text| {
+        let settings = &mut text["settings"];
+        settings["lanes"] = json!([lane("order", "at_most_once"), lane("read", "at_most_once")]);
+        settings["projects"] =
+            json!([{"name": "nova", "quotaPerS": 9.0}, {"name": "zenith", "quotaPerS": 8.0}]);
+        settings["zones"] = json!(["west", "south"]);
+        settings["zone"] = json!("west");
+        settings["kinds"] = json!(["big", "std"]);
+    });
+    assert_eq!(
+        line,
+        "1 class added, 1 class removed, 1 class changed, 1 tenant added, 1 tenant removed, 1 tenant changed, \
+         1 zone added, 1 zone removed, 1 kind added, zone"
+    );
+    let places = |names: &Positions| {
+        let mut places: Vec<_> = names.iter().map(|(name, &place)| (place, name.clone())).collect();
+        places.sort();
+        places
+    };
+    let named = |list: &[(usize, &str)]| -> Vec<_> {
+        list.iter().map(|&(place, name)| (place, name.to_owned())).collect()
+    };
+    assert_eq!(places(&next.names.classes), named(&[(0, "read"), (2, "order")]));
+    assert_eq!(places(&next.names.tenants), named(&[(1, "zenith"), (2, "nova")]));
+    assert_eq!(places(&next.names.zones), named(&[(1, "south"), (2, "west")]));
+    assert_eq!(places(&next.names.kinds), named(&[(0, "std"), (1, "big")]));
+    let settings = next.settings();
+    let effects: Vec<_> = settings.classes.iter().map(|class| class.effect).collect();
+    assert_eq!(effects, [peathatch::interface::Effect::Unsafe; 3]);
+    let quotas: Vec<_> = settings.tenants.iter().map(|tenant| tenant.quota).collect();
+    assert_eq!(quotas, [Some(0.0), Some(8.0), Some(9.0)]);
+    assert_eq!((settings.zone, settings.zones, settings.kinds), (ZoneId(2), 3, 2));
+    assert_eq!(settings.succeeds(&start.settings()), Ok(()));
+    // A name that comes back finds its position.
+    let (back, line) = changed(&next, |_| {});
+    assert!(line.starts_with("1 class added, 1 class removed, 1 class changed"), "{line}");
+    assert_eq!(places(&back.names.classes), named(&[(0, "read"), (1, "pay")]));
+    assert_eq!(back.settings().tenants[0].quota, Some(5.0));
+}
+
+#[test]
+fn the_line_names_what_has_changed_and_what_waits() {
+    let start = InForce::start(config(&text()));
+    assert_eq!(changed(&start, |_| {}).1, "nothing has changed");
+    let (next, line) = changed(&start, |text| {
+        text["discovery"] = json!("127.0.0.1:2");
+        text["listen"] = json!("127.0.0.1:81");
+        text["seed"] = json!("2f");
+        text["limits"]["sockets"] = json!(2048);
+        let settings = &mut text["settings"];
+        settings["balancers"] = json!(14);
+        settings["caps"]["dialTimeoutS"] = json!(2.0);
+        settings["prices"] = json!({"crossZone": 0.5});
+        settings["lanes"]
+            .as_array_mut()
+            .expect("a list")
+            .extend([lane("a", "idempotent"), lane("b", "idempotent")]);
+    });
+    assert_eq!(
+        line,
+        "discovery, 2 classes added, copies 12 to 14, sockets 1024 to 2048, caps, prices; \
+         waits for a restart: listen, seed"
+    );
+    assert_eq!((next.sockets(), next.connect_timeout()), (2048, Duration::from_secs(2)));
+    // Fewer descriptors than are in use.
+    let (next, line) = changed(&start, |text| text["limits"]["sockets"] = json!(100));
+    assert_eq!(line, "nothing has changed; waits for a restart: limits.sockets");
+    assert_eq!(next.sockets(), 1024);
+}
+
+#[test]
+fn the_longest_deadline_is_that_of_the_classes_accepted() {
+    let start = InForce::start(config(&text()));
+    let longer = |text: &mut Value| text["settings"]["lanes"][1]["hardLimitS"] = json!(9.0);
+    let (next, _) = changed(&start, longer);
+    assert_eq!(next.longest_deadline(), Duration::from_secs(9));
+    let (next, _) = changed(&next, |text| text["settings"]["lanes"] = json!([lane("read", "idempotent")]));
+    assert_eq!(next.longest_deadline(), Duration::from_secs(2));
+}
+
+/// Guards memory against a file that has ever new names.
+#[test]
+fn names_without_end_are_refused() {
+    let mut in_force = InForce::start(config(&text()));
+    for round in 0.. {
+        let mut text = text();
+        let names = (0..1000).map(|number| json!({"name": format!("t-{round}-{number}")}));
+        text["settings"]["projects"] = names.collect();
+        match in_force.succeeded_by(config(&text), 0) {
+            Ok((next, _)) => in_force = next,
+            Err(error) => {
+                assert_eq!(error.to_string(), "too many tenants by name since the start");
+                assert_eq!(in_force.settings().tenants.len(), 4002);
+                return;
+            }
+        }
+    }
+}
--- a/dahliahead/src/main.rs
+++ b/dahliahead/src/main.rs
@@ -1,14 +1,13 @@
 //! The real balancer: starts from its configuration, serves until SIGTERM, then lets go in peace. SIGHUP has it
-//! read where discovery is from a replaced configuration.
+//! put a replaced configuration in force.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use dahliahead::config::Config;
+use dahliahead::config::{Config, ConfigError};
 use dahliahead::server;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
 
 fn main() -> ExitCode {
@@ -25,15 +24,15 @@
             let mut terminate = signal(SignalKind::terminate())?;
             let mut interrupt = signal(SignalKind::interrupt())?;
             let hangup = signal(SignalKind::hangup())?;
-            let (moved, discovery) = watch::channel(config.discovery);
-            spawn_local(reload(hangup, moved));
+            let (replacing, replaced) = unbounded_channel();
+            spawn_local(reload(hangup, replacing));
             let stop = async move {
                 tokio::select! {
                     _ = terminate.recv() => {}
                     _ = interrupt.recv() => {}
                 }
             };
-            server::serve(config, discovery, stop).await
+            server::serve(config, replaced, stop).await
         })
     });
     match served {
@@ -45,19 +44,11 @@
     }
 }
 
-/// At each SIGHUP reads the configuration that has replaced the old one. One that makes no sense changes
-/// nothing.
-async fn reload(mut hangup: Signal, moved: watch::Sender<SocketAddr>) {
+/// At each SIGHUP reads the configuration that has replaced the old one.
+async fn reload(mut hangup: Signal, replacing: UnboundedSender<Result<Config, ConfigError>>) {
     while hangup.recv().await.is_some() {
-        match Config::replaced() {
-            Ok(config) => {
-                dahliahead::log(format_args!(
-                    "discovery is at {} by the new configuration",
-                    config.discovery
-                ));
-                moved.send_replace(config.discovery);
-            }
-            Err(error) => dahliahead::log(format_args!("goes on with the old configuration: {error}")),
+        if replacing.send(Config::replaced()).is_err() {
+            return;
         }
     }
 }
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -6,7 +6,7 @@
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr};
+use std::net::Shutdown;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -16,6 +16,7 @@
 use http_body_util::{Full, LengthLimitError};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -24,13 +25,16 @@
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::driver::{Answer, Driver, Taken};
 use crate::framing::{Ambiguous, InspectedStream, Unread};
+use crate::in_force::InForce;
+use crate::reload;
 use crate::upstream::{BODY_MOST, Call, read_body};
 
 /// Taken off a client's time, and again in each tier below: the answer must arrive before it is up. An answer
@@ -77,6 +81,8 @@
 const IDLE_LEAST: Duration = Duration::from_secs(2);
 /// Bytes of a head at most, and so of the buffer that hyper keeps for a connection.
 const HEAD_MOST: usize = 16 * 1024;
+/// The header by which upstreams know a repeat.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Wait after a failed accept, so that running out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -211,18 +217,18 @@
 }
 
 /// Binds the address of the configuration and serves until `stop` and the drain after it are over.
-/// `discovery` tells of each new address of discovery's.
+/// `replaced` brings each configuration that takes the place of another.
 ///
 /// # Errors
 /// The address is not free, or the settings make no sense.
 pub async fn serve(
     config: Config,
-    discovery: watch::Receiver<SocketAddr>,
+    replaced: UnboundedReceiver<Result<Config, ConfigError>>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let listener = TcpListener::bind(config.listen).await?;
     crate::log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
-    serve_on(listener, config, discovery, stop).await
+    serve_on(listener, config, replaced, stop).await
 }
 
 /// Serves on a listener until `stop` and the drain after it are over; the rest is as in [`serve`].
@@ -232,20 +238,12 @@
 pub async fn serve_on(
     listener: TcpListener,
     config: Config,
-    mut discovery: watch::Receiver<SocketAddr>,
+    replaced: UnboundedReceiver<Result<Config, ConfigError>>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let longest = config.loaded.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let driver = Driver::start(config).map_err(io::Error::other)?;
-    let moved = Rc::clone(&driver);
-    spawn_local(async move {
-        while discovery.changed().await.is_ok() {
-            let address = *discovery.borrow_and_update();
-            moved.discovery_moved(address);
-        }
-    });
+    spawn_local(reload::follow(Rc::clone(&driver), replaced));
     let (phase, phases) = watch::channel(Phase::Serving);
-    let ends_after = (longest.min(KILL_DEADLINE) + KILL_GRACE).saturating_sub(KILL_MARGIN);
     let clients = Rc::new(Clients {
         driver,
         phases,
@@ -254,6 +252,8 @@
         draining: Cell::new(false),
     });
     accept_until(&listener, &clients, stop).await;
+    let longest = clients.driver.in_force().longest_deadline();
+    let ends_after = (longest.min(KILL_DEADLINE) + KILL_GRACE).saturating_sub(KILL_MARGIN);
     let ends = Instant::now() + ends_after;
     clients.driver.end_by(ends);
     clients.draining.set(true);
@@ -491,7 +491,7 @@
         }
         // No socket is left for an attempt either, or no connection for clients; nothing has run.
         if driver.full() || clients.lacks_idle() {
-            return Ok(Answer::Refused { retry_after: driver.retry_after() });
+            return Ok(Answer::Refused { retry_after: driver.in_force().retry_after() });
         }
         answer(clients, taken, unread.left(stream)).await.ok_or(BadRequest::Open)
     };
@@ -572,17 +572,25 @@
     value.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
 }
 
-/// Reads a request to its last byte.
-async fn read(driver: &Driver, request: Request<Incoming>, by: Instant) -> Result<Taken, BadRequest> {
-    let (head, body) = request.into_parts();
-    let names = driver.names();
+/// What the settings say of a request.
+struct Terms {
+    class: ClassId,
+    tenant: Option<TenantId>,
+    /// How long its client waits.
+    time: Duration,
+}
+
+/// Reads a request's head by the settings in force.
+fn terms(in_force: &InForce, head: &Parts) -> Result<Terms, BadRequest> {
+    let names = in_force.names();
     let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let class = ClassId(*names.classes.get(class).ok_or(BadRequest::Class)?);
-    let figures = driver.class(class).ok_or(BadRequest::Class)?;
-    let key = filled(&head.headers, "idempotency-key");
+    let figures = in_force.class(class).ok_or(BadRequest::Class)?;
     match figures.effect {
         Effect::Safe if head.method != Method::GET => return Err(BadRequest::Method),
-        Effect::Keyed { .. } if key.is_none() => return Err(BadRequest::Key),
+        Effect::Keyed { .. } if filled(&head.headers, IDEMPOTENCY_KEY).is_none() => {
+            return Err(BadRequest::Key);
+        }
         Effect::Keyed { .. } | Effect::Unsafe if head.method != Method::POST => {
             return Err(BadRequest::Method);
         }
@@ -598,6 +606,14 @@
         Some(value) => value.to_str().ok().and_then(seconds).ok_or(BadRequest::Deadline)?,
         None => figures.deadline,
     };
+    Ok(Terms { class, tenant, time: time.min(figures.deadline * 10) })
+}
+
+/// Reads a request to its last byte.
+async fn read(driver: &Driver, request: Request<Incoming>, by: Instant) -> Result<Taken, BadRequest> {
+    let (head, body) = request.into_parts();
+    let begun_under = driver.in_force();
+    let mut terms = terms(&begun_under, &head)?;
     let id = filled(&head.headers, "x-request-id").ok_or(BadRequest::Id)?;
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(BadRequest::TooLarge);
@@ -608,21 +624,26 @@
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
         Ok(Err(_)) => return Err(BadRequest::Body),
     };
+    // What came into force while it came in holds for it: an effect that asks for a key must not pass without one.
+    let in_force = driver.in_force();
+    if !Rc::ptr_eq(&begun_under, &in_force) {
+        terms = self::terms(&in_force, &head)?;
+    }
     let now = Instant::now();
     let cost = text(&head.headers, "x-cost-hint").and_then(|value| value.trim().parse().ok());
     Ok(Taken {
-        class,
-        tenant,
+        class: terms.class,
+        tenant: terms.tenant,
         key: subject(head.uri.query()),
         expected_work: cost.map(Duration::from_micros),
         repeat: text(&head.headers, "x-retry") == Some("1"),
-        deadline: now + time.min(figures.deadline * 10).saturating_sub(MARGIN),
+        deadline: now + terms.time.saturating_sub(MARGIN),
         call: Rc::new(Call {
             method: head.method,
             host: head.headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("upstream")),
             uri: path_only(head.uri),
             id,
-            key,
+            key: filled(&head.headers, IDEMPOTENCY_KEY),
             body,
         }),
     })
--- a/dahliahead/src/subscription.rs
+++ b/dahliahead/src/subscription.rs
@@ -14,7 +14,7 @@
     version: u64,
     number: WatchNumber,
     watch: Option<AbortHandle>,
-    /// The watch where discovery was before it moved, until the new one has spoken.
+    /// The watch before one that was asked for anew, until that one has spoken.
     old_watch: Option<AbortHandle>,
 }
 
@@ -46,12 +46,22 @@
         if std::mem::replace(&mut self.address, address) == address {
             return false;
         }
+        self.set_aside();
+        true
+    }
+
+    /// The next watch asks for the whole list; until it has spoken the one that stands is heard.
+    pub fn start_over(&mut self) {
+        self.version = 0;
+        self.set_aside();
+    }
+
+    fn set_aside(&mut self) {
         if let Some(watch) = self.watch.take()
             && let Some(older) = self.old_watch.replace(watch)
         {
             older.abort();
         }
-        true
     }
 
     /// A watch has told of this version.
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -383,7 +383,10 @@
             Some(connection) => connection,
             None => {
                 let patience = job.start_by.saturating_duration_since(Instant::now());
-                let dial = Dial { address: job.address, patience: driver.connect_timeout().min(patience) };
+                let dial = Dial {
+                    address: job.address,
+                    patience: driver.in_force().connect_timeout().min(patience),
+                };
                 // Short of sockets is no fault of the upstream's.
                 let Some(permit) = driver.permit() else { return (Outcome::NotSent.into(), None) };
                 match connect(permit, dial).await {
@@ -461,12 +464,13 @@
 
 /// Reads `name=value,name=value`.
 fn load_report(driver: &Driver, value: &HeaderValue) -> Option<LoadReport> {
+    let in_force = driver.in_force();
     let mut report = LoadReport::default();
     for part in value.to_str().ok()?.split(',') {
         let (name, value) = part.split_once('=')?;
         let name = name.trim();
         let value: f64 = value.trim().parse().ok().filter(|value: &f64| value.is_finite())?;
-        if driver.names().load_fields.iter().any(|field| field == name) {
+        if in_force.names().load_fields.iter().any(|field| field == name) {
             setup::set_load_field(&mut report, name, value);
         }
     }
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -12,11 +12,12 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use dahliahead::config::Config;
+use dahliahead::config::{Config, ConfigError};
 use dahliahead::server;
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
 
 /// Longer than anything takes that works.
 pub const LONG: Duration = Duration::from_secs(30);
@@ -363,7 +364,8 @@
 pub struct Balancer {
     pub address: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
-    discovery: watch::Sender<SocketAddr>,
+    configuration: String,
+    replacing: UnboundedSender<Result<Config, ConfigError>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -374,7 +376,7 @@
         let address = listener.local_addr().expect("bound");
         let config = Config::parse(configuration, |_| None).expect("a sound configuration");
         let (stop, stopped) = oneshot::channel();
-        let (discovery, moved) = watch::channel(config.discovery);
+        let (replacing, replaced) = unbounded_channel();
         let thread = thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
             let served = tokio::task::LocalSet::new().block_on(&runtime, async {
@@ -382,11 +384,12 @@
                 let stop = async {
                     let _ = stopped.await;
                 };
-                server::serve_on(listener, config, moved, stop).await
+                server::serve_on(listener, config, replaced, stop).await
             });
             served.expect("serves");
         });
-        Self { address, stop: Some(stop), discovery, thread: Some(thread) }
+        let configuration = configuration.to_owned();
+        Self { address, stop: Some(stop), configuration, replacing, thread: Some(thread) }
     }
 
     /// With these upstreams, answers wanted within `aim` seconds, and a discovery that has nothing to add.
@@ -410,7 +413,14 @@
 
     /// As after a reload of a configuration that names this discovery.
     pub fn move_discovery(&self, discovery: &Discovery) {
-        self.discovery.send(discovery.address).expect("the balancer runs");
+        let mut configuration: Value = serde_json::from_str(&self.configuration).expect("JSON");
+        configuration["discovery"] = discovery.address.to_string().into();
+        self.reload(&configuration.to_string());
+    }
+
+    /// As after a reload of a configuration of this text.
+    pub fn reload(&self, text: &str) {
+        self.replacing.send(Config::parse(text, |_| None)).expect("the balancer runs");
     }
 
     pub fn stop(&mut self) {
--- /dev/null
+++ b/dahliahead/tests/reload.rs
@@ -0,0 +1,304 @@
+//! A configuration that is put in force while requests are in flight, over sockets and by SIGHUP.
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use common::*;
+use serde_json::{Value, json};
+
+/// An upstream that keeps requests whose body is `held` until it is let go.
+struct Gate {
+    upstream: Upstream,
+    open: Arc<AtomicBool>,
+}
+
+impl Gate {
+    fn start() -> Self {
+        let open = Arc::new(AtomicBool::new(false));
+        let opened = Arc::clone(&open);
+        let upstream = Upstream::start(move |_, message| {
+            if message.body == b"held" {
+                wait_for("the gate opens", || opened.load(Ordering::Acquire).then_some(()));
+            }
+            ok("served")
+        });
+        Self { upstream, open }
+    }
+
+    fn known(&self) -> Vec<Value> {
+        vec![endpoint("s-1", self.upstream.address, 0, "ready")]
+    }
+
+    /// A request that the upstream holds.
+    fn hold(&self, address: SocketAddr, class: &str) -> Client {
+        let mut client = Client::connect(address);
+        client.send(class, "held");
+        let count = |message: &Message| message.body == b"held";
+        wait_for("it is held", || {
+            self.upstream.requests().iter().any(|(_, message)| count(message)).then_some(())
+        });
+        client
+    }
+
+    fn open(&self) {
+        self.open.store(true, Ordering::Release);
+    }
+}
+
+fn parsed(configuration: &str) -> Value {
+    serde_json::from_str(configuration).expect("JSON")
+}
+
+fn lane(name: &str, effect: &str) -> Value {
+    json!({"name": name, "onTimeS": 30.0, "hardLimitS": 60.0, "effect": effect})
+}
+
+fn lanes(text: &mut Value) -> &mut Vec<Value> {
+    text["settings"]["lanes"].as_array_mut().expect("a list")
+}
+
+/// The program, which ends with the test.
+struct Program {
+    child: Child,
+    address: SocketAddr,
+    log: BufReader<ChildStderr>,
+    file: PathBuf,
+}
+
+impl Program {
+    fn start(configuration: &str) -> Self {
+        let file = configuration_file(configuration);
+        let mut child = command_within(1024, &file).spawn().expect("starts");
+        let (address, log) = address(&mut child);
+        Self { child, address, log, file }
+    }
+
+    /// Replaces the configuration, and gives the line about it.
+    fn reload(&mut self, bytes: &[u8]) -> String {
+        std::fs::write(&self.file, bytes).expect("written");
+        let sent = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status().expect("sent");
+        assert!(sent.success());
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the program ended");
+            if line.contains("configuration") {
+                return line.trim().to_owned();
+            }
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+#[test]
+fn a_new_class_is_served_after_sighup_while_a_request_in_flight_is_answered() {
+    let gate = Gate::start();
+    let discovery = Discovery::start();
+    let old = configuration(discovery.address, &gate.known(), 30.0, 1024);
+    let mut program = Program::start(&old);
+    let mut held = gate.hold(program.address, "order");
+    assert_eq!(Client::connect(program.address).ask("extra", "").status(), 400);
+    let mut new = parsed(&old);
+    // In front of the others: the request in flight must not be taken for one of it.
+    lanes(&mut new).insert(0, lane("extra", "at_most_once"));
+    new["settings"]["projects"] = json!([{"name": "zenith"}, {"name": "acme"}]);
+    let line = program.reload(new.to_string().as_bytes());
+    assert_eq!(line, "dahliahead: configuration applied: 1 class added, 1 tenant added");
+    let mut client = Client::connect(program.address);
+    assert_eq!(client.ask("extra", "").status(), 200);
+    client.send_for("zenith", "order", "");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    gate.open();
+    assert_eq!(held.answer().expect("an answer").status(), 200);
+    assert_eq!(
+        program.reload(new.to_string().as_bytes()),
+        "dahliahead: configuration applied: nothing has changed"
+    );
+    assert_eq!(client.ask("extra", "").status(), 200);
+}
+
+#[test]
+fn names_that_are_gone_are_refused_plainly_while_their_requests_in_flight_are_answered() {
+    let gate = Gate::start();
+    let (balancer, discovery) = Balancer::with(&gate.known(), 30.0);
+    let mut held = gate.hold(balancer.address, "order");
+    let mut new = parsed(&configuration(discovery.address, &gate.known(), 30.0, 1024));
+    lanes(&mut new).retain(|lane| lane["name"] != "order");
+    new["settings"]["projects"] = json!([{"name": "zenith"}]);
+    balancer.reload(&new.to_string());
+    let mut client = balancer.client();
+    wait_for("the tenant is gone", || (client.ask("read", "").status() == 400).then_some(()));
+    client.send_for("zenith", "order", "");
+    let refused = client.answer().expect("an answer");
+    assert_eq!(refused.status(), 400);
+    client.send_for("zenith", "read", "");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    gate.open();
+    assert_eq!(held.answer().expect("an answer").status(), 200);
+}
+
+/// A file that cannot be used changes nothing at all, neither the settings nor discovery, and ends nothing.
+#[test]
+fn a_file_that_cannot_be_used_leaves_all_of_the_old_one_in_force() {
+    let gate = Gate::start();
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let text = configuration(old.address, &gate.known(), 30.0, 1024);
+    let mut program = Program::start(&text);
+    let mut held = gate.hold(program.address, "order");
+    let (_, _old_watch) = old.watch();
+    let mut moved = parsed(&text);
+    moved["discovery"] = json!(new.address.to_string());
+    lanes(&mut moved).push(lane("extra", "idempotent"));
+    let sound = moved.to_string();
+    let with = |change: fn(&mut Value)| {
+        let mut text = moved.clone();
+        change(&mut text);
+        text.to_string().into_bytes()
+    };
+    let files: [(Vec<u8>, &str); 8] = [
+        (Vec::new(), "malformed"),
+        (sound.as_bytes()[..sound.len() / 2].to_vec(), "malformed"),
+        (sound.as_bytes()[..sound.len() - 1].to_vec(), "malformed"),
+        ([sound.as_bytes(), &b" ".repeat(9 << 20)].concat(), "is larger than"),
+        (vec![0xff, 0xfe], "cannot read"),
+        (with(|text| text["settings"]["balancers"] = json!(0)), "copies is 0"),
+        (with(|text| text["settings"]["lanes"] = json!([])), "no class"),
+        (with(|text| text["settings"]["zone"] = json!("west")), "zone makes no sense"),
+    ];
+    for (bytes, reason) in files {
+        let line = program.reload(&bytes);
+        assert!(line.starts_with("dahliahead: goes on with the old configuration: "), "{line}");
+        assert!(line.contains(reason), "{line}");
+        let mut client = Client::connect(program.address);
+        assert_eq!(client.ask("order", "").status(), 200);
+        assert_eq!(client.ask("extra", "").status(), 400);
+    }
+    std::fs::remove_file(&program.file).expect("it is there");
+    std::fs::create_dir(&program.file).expect("created");
+    let sent = Command::new("kill").args(["-HUP", &program.child.id().to_string()]).status().expect("sent");
+    assert!(sent.success());
+    let mut line = String::new();
+    program.log.read_line(&mut line).expect("a line");
+    assert!(line.contains("goes on with the old configuration: cannot read"), "{line}");
+    std::fs::remove_dir(&program.file).expect("it is there");
+    assert!(new.next_watch().is_none(), "discovery moved without its settings");
+    // Settings and discovery move together, and the request that was there before all this is answered.
+    let line = program.reload(sound.as_bytes());
+    assert_eq!(line, "dahliahead: configuration applied: discovery, 1 class added");
+    let (_, _new_watch) = new.watch();
+    assert_eq!(Client::connect(program.address).ask("extra", "").status(), 400, "it is to be asked with GET");
+    assert_eq!(Client::connect(program.address).ask("read", "").status(), 200);
+    gate.open();
+    assert_eq!(held.answer().expect("an answer").status(), 200);
+}
+
+/// Of files that follow each other at once the last one holds.
+#[test]
+fn the_last_of_several_files_wins() {
+    let gate = Gate::start();
+    let (balancer, discovery) = Balancer::with(&gate.known(), 30.0);
+    let old = configuration(discovery.address, &gate.known(), 30.0, 1024);
+    for number in 0..20 {
+        let mut new = parsed(&old);
+        lanes(&mut new).push(lane(&format!("extra-{number}"), "at_most_once"));
+        balancer.reload(&new.to_string());
+    }
+    let mut client = balancer.client();
+    wait_for("the last is in force", || (client.ask("extra-19", "").status() == 200).then_some(()));
+    for number in 0..19 {
+        assert_eq!(client.ask(&format!("extra-{number}"), "").status(), 400);
+    }
+}
+
+/// Members whose zone was not named before are told anew: the list is asked for whole, and until it has come the watch
+/// that stands is heard.
+#[test]
+fn other_names_of_zones_have_the_list_read_anew() {
+    let (near, far) = (Upstream::start(|_, _| ok("near")), Upstream::start(|_, _| ok("far")));
+    let mut members =
+        vec![endpoint("s-1", near.address, 0, "ready"), endpoint("s-2", far.address, 0, "ready")];
+    members[1]["zone"] = json!("west");
+    let discovery = Discovery::beating(LONG);
+    let mut text = parsed(&configuration(discovery.address, &members, 30.0, 1024));
+    text["settings"]["tier"] = json!(1);
+    let balancer = Balancer::start(&text.to_string());
+    let (_, old_watch) = discovery.watch();
+    old_watch.says(8, false, &[]);
+    let mut client = balancer.client();
+    let all_from = |client: &mut Client, body: &str| {
+        (0..200).all(|_| client.ask("order", "").body == body.as_bytes()).then_some(())
+    };
+    wait_for("all stay in the zone", || all_from(&mut client, "near"));
+    text["settings"]["zones"] = json!(["west", "north"]);
+    text["settings"]["zone"] = json!("west");
+    balancer.reload(&text.to_string());
+    let (line, new_watch) = discovery.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=0 HTTP/1.1");
+    old_watch.says(9, false, &[endpoint("s-1", near.address, 0, "draining")]);
+    wait_for("the old watch is heard", || all_from(&mut client, "far"));
+    let third = Upstream::start(|_, _| ok("third"));
+    members.push(endpoint("s-3", third.address, 0, "ready"));
+    members[2]["zone"] = json!("west");
+    new_watch.says(10, true, &members);
+    wait_for("the whole list is heard", || (client.ask("order", "").body == b"third").then_some(()));
+    for _ in 0..20 {
+        assert_ne!(client.ask("order", "").body, b"near", "it is in another zone now");
+    }
+}
+
+/// An effect that is in force before a request has come whole holds for it: one without a key would run twice.
+#[test]
+fn a_request_that_comes_in_across_a_change_goes_by_the_new_effect() {
+    let gate = Gate::start();
+    let (balancer, discovery) = Balancer::with(&gate.known(), 30.0);
+    let mut client = balancer.client();
+    client.raw(
+        b"POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: r-split\r\nX-Tenant: acme\r\nContent-Length: 4\r\n\r\nha",
+    );
+    balancer.catches_up();
+    let mut new = parsed(&configuration(discovery.address, &gate.known(), 30.0, 1024));
+    new["settings"]["lanes"][2]["effect"] = json!("deduplicated");
+    new["settings"]["lanes"][2]["dedupScope"] = json!("all");
+    new["settings"]["lanes"][2]["windowS"] = json!(10.0);
+    balancer.reload(&new.to_string());
+    balancer.catches_up();
+    client.raw(b"lf");
+    assert_eq!(client.answer().expect("an answer").status(), 400);
+    assert_eq!(gate.upstream.requests().len(), 0);
+    assert_eq!(client.ask("order", "").status(), 200, "with a key");
+}
+
+/// Drains go by the deadlines in force: with those of the start this one would end 0.6 s after it began.
+#[test]
+fn a_drain_waits_as_long_as_the_new_deadlines_need() {
+    let gate = Gate::start();
+    let discovery = Discovery::start();
+    let mut text = parsed(&configuration(discovery.address, &gate.known(), 0.1, 1024));
+    let with_deadline = |text: &mut Value, seconds: f64| {
+        for lane in lanes(text) {
+            (lane["onTimeS"], lane["hardLimitS"]) = (json!(seconds), json!(seconds));
+        }
+        text.to_string()
+    };
+    let mut balancer = Balancer::start(&with_deadline(&mut text, 0.1));
+    balancer.reload(&with_deadline(&mut text, 60.0));
+    balancer.catches_up();
+    let mut held = gate.hold(balancer.address, "order");
+    balancer.stop();
+    std::thread::sleep(Duration::from_millis(1200));
+    gate.open();
+    assert_eq!(held.answer().expect("an answer").status(), 200);
+}
