Test an attempt that is written whole as it is told to end

The word to end an attempt waits for the attempt's next turn, and the connection may write the request whole before that; neither order can be had through a whole balancer. Change: what attempt() waits for is a function of its own, run(), whose future the test polls itself: the word before the request is written, after it, and with no turn for the connection at all.

--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -348,10 +348,27 @@
 
 /// Makes an attempt and tells the driver how it ended; `end` ends it from outside.
 pub async fn attempt(driver: Rc<Driver>, job: Job, progress: Rc<Progress>, end: oneshot::Receiver<Outcome>) {
-    let exchange = exchange(&driver, &job, &progress);
-    let ended = tokio::select! {
+    let Some((ended, connection)) = run(&driver, &job, &progress, end).await else { return };
+    driver.attempt_ended(&job, progress.took(job.asked), ended);
+    // The answer goes out first; then the connection is made ready for the next request.
+    if let Some(mut connection) = connection
+        && let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await
+    {
+        driver.keep(job.upstream, job.address, connection);
+    }
+}
+
+/// Runs an attempt until it has its outcome, its time is up or `end` ends it; its connection comes back if it may
+/// carry another request. `None` if neither came.
+async fn run(
+    driver: &Rc<Driver>,
+    job: &Job,
+    progress: &Progress,
+    end: oneshot::Receiver<Outcome>,
+) -> Option<(Ended, Option<Connection>)> {
+    tokio::select! {
         biased;
-        done = timeout_at(job.until, exchange) => match done {
+        done = timeout_at(job.until, exchange(driver, job, progress)) => match done {
             Ok(done) => Some(done),
             // The exchange is dropped, and its connection closed with it.
             Err(_) if progress.whole() => Some((Outcome::TimedOut.into(), None)),
@@ -363,14 +380,6 @@
             let outcome = if progress.whole() { Outcome::Withdrawn } else { outcome };
             Some((outcome.into(), None))
         }
-    };
-    let Some((ended, connection)) = ended else { return };
-    driver.attempt_ended(&job, progress.took(job.asked), ended);
-    // The answer goes out first; then the connection is made ready for the next request.
-    if let Some(mut connection) = connection
-        && let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await
-    {
-        driver.keep(job.upstream, job.address, connection);
     }
 }
 
--- a/dahliahead/src/upstream/tests.rs
+++ b/dahliahead/src/upstream/tests.rs
@@ -112,6 +112,34 @@
     assert!(progress.whole());
 }
 
+/// A driver whose list names one upstream, and an attempt to make there.
+fn job_at(address: SocketAddr) -> (Rc<Driver>, Job) {
+    let text = CONFIGURATION.replace(r#""tryLimit": 3"#, r#""tryLimit": 3, "dialTimeoutS": 30"#);
+    let driver = Driver::start(Config::parse(&text, |_| None).expect("sound")).expect("starts");
+    let listed = format!(
+        r#"{{"snapshot": true, "endpoints": [
+        {{"name": "s-1", "address": "{address}", "status": "ready"}}]}}"#
+    );
+    driver.learn(0, serde_json::from_str(&listed).expect("a list"));
+    let asked = Instant::now();
+    let job = Job {
+        request: RequestId(1),
+        attempt: AttemptNumber(0),
+        upstream: driver.number_of("s-1"),
+        address,
+        call: Rc::new(call(Method::GET, b"")),
+        asked,
+        until: asked + Duration::from_secs(30),
+        start_by: asked + Duration::from_secs(30),
+    };
+    (driver, job)
+}
+
+/// Polls a future once.
+async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Poll<F::Output> {
+    std::future::poll_fn(|context| Poll::Ready(future.as_mut().poll(context))).await
+}
+
 /// Found on zone+brink: connections that came up late passed for congestion and cut the limits. The time of an
 /// attempt counts from when its connection was up; of one that never was, from when it was asked for.
 #[test]
@@ -127,24 +155,8 @@
         let filling: Vec<_> = (0..2)
             .map(|_| std::net::TcpStream::connect_timeout(&address, Duration::from_millis(300)))
             .collect();
-        let text = CONFIGURATION.replace(r#""tryLimit": 3"#, r#""tryLimit": 3, "dialTimeoutS": 30"#);
-        let driver = Driver::start(Config::parse(&text, |_| None).expect("sound")).expect("starts");
-        let listed = format!(
-            r#"{{"snapshot": true, "endpoints": [
-            {{"name": "s-1", "address": "{address}", "status": "ready"}}]}}"#
-        );
-        driver.learn(0, serde_json::from_str(&listed).expect("a list"));
-        let asked = Instant::now();
-        let job = Job {
-            request: RequestId(1),
-            attempt: AttemptNumber(0),
-            upstream: driver.number_of("s-1"),
-            address,
-            call: Rc::new(call(Method::GET, b"")),
-            asked,
-            until: asked + Duration::from_secs(30),
-            start_by: asked + Duration::from_secs(30),
-        };
+        let (driver, job) = job_at(address);
+        let asked = job.asked;
         let progress = Progress::default();
         let mut exchange = std::pin::pin!(exchange(&driver, &job, &progress));
         let up = timeout(Duration::from_millis(100), exchange.as_mut()).await;
@@ -166,3 +178,64 @@
         assert!(took < whole / 2, "{took:?} of {whole:?}");
     });
 }
+
+/// Found on brink seed 61 of an own deployment: an attempt whose upstream began to drain was reported as never run,
+/// though its request went out whole between the word to end it and its next turn. The word may come before the request
+/// is written or after, and its turn as well; only what is never written has never run.
+#[test]
+fn an_attempt_written_as_it_is_told_to_end_may_have_run() {
+    #[derive(Debug, PartialEq)]
+    enum Moment {
+        Told,
+        Written,
+    }
+    use Moment::{Told, Written};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+    for (order, outcome) in [
+        (&[Told, Written][..], Outcome::Withdrawn),
+        (&[Written, Told], Outcome::Withdrawn),
+        (&[Told], Outcome::ConnectFailed),
+    ] {
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let (driver, job) = job_at(listener.local_addr().expect("bound"));
+            let progress = Progress::default();
+            let (end, ended) = oneshot::channel();
+            let mut end = Some(end);
+            let mut attempt = Box::pin(run(&driver, &job, &progress, ended));
+            // The request is handed to its connection, which has not had its turn yet.
+            loop {
+                assert!(poll_once(attempt.as_mut()).await.is_pending());
+                if progress.sent.get().is_some() {
+                    break;
+                }
+                tokio::task::yield_now().await;
+            }
+            for moment in order {
+                assert_eq!(progress.begun(), order[0] == Written && *moment == Told, "{order:?}");
+                match moment {
+                    Told => {
+                        let told = end.take().expect("told once").send(Outcome::ConnectFailed);
+                        told.expect("the attempt is out");
+                    }
+                    Written => {
+                        while !progress.whole() {
+                            tokio::task::yield_now().await;
+                        }
+                    }
+                }
+            }
+            let Poll::Ready(Some((ended, connection))) = poll_once(attempt.as_mut()).await else {
+                panic!("{order:?}: it goes on");
+            };
+            assert_eq!((ended.outcome, connection.is_some()), (outcome, false), "{order:?}");
+            drop(attempt);
+            let mut upstream = listener.accept().await.expect("it came up").0;
+            let mut read = Vec::new();
+            upstream.read_to_end(&mut read).await.expect("closed in order");
+            let whole = read.starts_with(b"GET /order?k=7f") && read.ends_with(b"\r\n\r\n");
+            assert_eq!(whole, order.contains(&Written), "{order:?}");
+            assert!(whole || read.is_empty(), "{order:?}");
+        });
+    }
+}
