Serve answers without a length whole when their connection ends in order

Cause: read() in upstream.rs counted each answer without a length as cut. Change: without Transfer-Encoding an answer ends where its length or else its connection says; a reset reaches us as an error of the body and leaves it spoilt (may have run), as does a body past the limit. A coding but chunked alone, or one beside a length, stays refused.

--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -441,8 +441,8 @@
     Ok(whole.into())
 }
 
-/// Reads an answer to its end; `None` if it is spoilt: it breaks off, is longer than answers are, or does not
-/// say where it ends, so that what came may be a part. Whatever it said before, its request may have run.
+/// Reads an answer to its end; `None` if it is spoilt: it breaks off, is longer than answers are, or says where it
+/// ends in a way that may be misread. Whatever it said before, its request may have run.
 async fn read(driver: &Driver, response: Response<Incoming>) -> Option<Ended> {
     let (head, body) = response.into_parts();
     let load = head.headers.get("x-load").and_then(|value| load_report(driver, value));
@@ -453,7 +453,8 @@
         Some(coding) => {
             coding.as_bytes().eq_ignore_ascii_case(b"chunked") && !head.headers.contains_key(CONTENT_LENGTH)
         }
-        None => body.size_hint().exact().is_some(),
+        // Without a length it ends with its connection, if that ends in order: a reset is an error of the body.
+        None => true,
     };
     if !ends || body.size_hint().lower() > BODY_MOST as u64 {
         return None;
