--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -348,10 +348,27 @@
 
 /// Makes an attempt and tells the driver how it ended; `end` ends it from outside.
 pub async fn attempt(driver: Rc<Driver>, job: Job, progress: Rc<Progress>, end: oneshot::Receiver<Outcome>) {
-    let exchange = exchange(&driver, &job, &progress);
-    let ended = tokio::select! {
+    let Some((ended, connection)) = run(&driver, &job, &progress, end).await else { return };
+    driver.attempt_ended(&job, progress.took(job.asked), ended);
+    // The answer goes out first; then the connection is made ready for the next request.
+    if let Some(mut connection) = connection
+        && let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await
+    {
+        driver.keep(job.upstream, job.address, connection);
+    }
+}
+
+/// Runs an attempt until it has its outcome, its time is up or `end` ends it; its connection comes back if it may
+/// carry another request. `None` if neither came.
+async fn run(
+    driver: &Rc<Driver>,
+    job: &Job,
+    progress: &Progress,
+    end: oneshot::Receiver<Outcome>,
+) -> Option<(Ended, Option<Connection>)> {
+    tokio::select! {
         biased;
-        done = timeout_at(job.until, exchange) => match done {
+        done = timeout_at(job.until, exchange(driver, job, progress)) => match done {
             Ok(done) => Some(done),
             // The exchange is dropped, and its connection closed with it.
             Err(_) if progress.whole() => Some((Outcome::TimedOut.into(), None)),
@@ -363,14 +380,6 @@
             let outcome = if progress.whole() { Outcome::Withdrawn } else { outcome };
             Some((outcome.into(), None))
         }
-    };
-    let Some((ended, connection)) = ended else { return };
-    driver.attempt_ended(&job, progress.took(job.asked), ended);
-    // The answer goes out first; then the connection is made ready for the next request.
-    if let Some(mut connection) = connection
-        && let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await
-    {
-        driver.keep(job.upstream, job.address, connection);
     }
 }
 
@@ -432,8 +441,8 @@
     Ok(whole.into())
 }
 
-/// Reads an answer to its end; `None` if it is spoilt: it breaks off, is longer than answers are, or does not
-/// say where it ends, so that what came may be a part. Whatever it said before, its request may have run.
+/// Reads an answer to its end; `None` if it is spoilt: it breaks off, is longer than answers are, or says where it
+/// ends in a way that may be misread. Whatever it said before, its request may have run.
 async fn read(driver: &Driver, response: Response<Incoming>) -> Option<Ended> {
     let (head, body) = response.into_parts();
     let load = head.headers.get("x-load").and_then(|value| load_report(driver, value));
@@ -444,7 +453,8 @@
         Some(coding) => {
             coding.as_bytes().eq_ignore_ascii_case(b"chunked") && !head.headers.contains_key(CONTENT_LENGTH)
         }
-        None => body.size_hint().exact().is_some(),
+        // Without a length it ends with its connection, if that ends in order: a reset is an error of the body.
+        None => true,
     };
     if !ends || body.size_hint().lower() > BODY_MOST as u64 {
         return None;
