Keep the port of an address where nothing listens bound for as long as tests run

Cause: dead_address gave its port back, so that another test's upstream, in this process or beside it, could get it and a request meant for nobody. a_break_after_the_last_byte_may_have_run failed once so (first answer not 200) while five other builds and test runs went on; not seen again in 11 runs, so that this is the likely cause and not a shown one. Change: the port stays bound to a socket that does not listen, which refuses connections as before.

--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -239,9 +239,14 @@
     (listener, filling)
 }
 
-/// An address where nothing listens.
+/// An address where nothing listens. Its port stays bound, or another test's upstream might get it.
 pub fn dead_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    static BOUND: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    let address = socket.local_addr().expect("bound").as_socket().expect("IPv4");
+    BOUND.lock().expect("no panic").push(socket);
+    address
 }
 
 pub fn endpoint(name: &str, address: SocketAddr, group: u32, status: &str) -> Value {
