Check scenarios before anything starts, with file, key and reason

A scenario without sense must end before a process is started. Loading names the key of a wrong form, overrides go before the file by dotted path, each key's range is checked, and memory and descriptors are held against this machine. The tests name one case for each check.

--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -1,3 +1,7 @@
 //! The command-line program of the fleet model.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    stilelead_scale::cli::main()
+}
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -1,6 +1,11 @@
 //! The scenario file: what a run models, for how long and with which faults.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+
+pub mod check;
+pub mod load;
+pub mod machine;
+pub mod overrides;
 
 /// A scenario as written in TOML. Unknown keys are refused.
 #[derive(Debug, Clone, Deserialize)]
@@ -8,6 +13,9 @@
 pub struct Scenario {
     /// Short name, shown in the report.
     pub name: String,
+    /// What was scaled down from the fleet that is modelled, and by how much; shown in the report.
+    #[serde(default)]
+    pub scale: String,
     /// Seconds of load.
     pub duration_s: f64,
     /// Seconds before the load during which copies start and become ready, at most.
@@ -196,7 +204,7 @@
 }
 
 /// Kinds of faults.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FaultKind {
     /// Nodes fall silent, with the copies on them, and control learns of it late.
--- /dev/null
+++ b/scale/src/scenario/overrides.rs
@@ -0,0 +1,92 @@
+//! Values of a scenario given on the command line: `--set fleet.hollow=200`.
+
+use toml::{Table, Value};
+
+use super::load::{KeyError, Reason};
+
+/// A key by its dotted path, and the value that goes before the file's.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Override {
+    /// Names of tables and numbers of array entries, outermost first.
+    path: Vec<String>,
+    /// The value.
+    value: Value,
+}
+
+impl Override {
+    /// Reads `key=value`. A value that is no TOML is taken as a string.
+    ///
+    /// # Errors
+    /// There is no `=`, or a part of the key is empty.
+    pub fn parse(text: &str) -> Result<Self, KeyError> {
+        let Some((key, value)) = text.split_once('=') else {
+            return Err(KeyError::new(text, Reason::NoValue));
+        };
+        let path: Vec<String> = key.trim().split('.').map(str::to_owned).collect();
+        if path.iter().any(String::is_empty) {
+            return Err(KeyError::new(key, Reason::EmptyName));
+        }
+        Ok(Self { path, value: read_value(value.trim()) })
+    }
+
+    /// Puts the value in its place.
+    ///
+    /// # Errors
+    /// The path leads through a value that holds no others, or past the end of an array.
+    pub fn apply(&self, table: &mut Table) -> Result<(), KeyError> {
+        let (last, parents) = self.path.split_last().ok_or(KeyError::new("", Reason::EmptyName))?;
+        let mut place = Place::Table(table);
+        for (depth, name) in parents.iter().enumerate() {
+            place =
+                place.enter(name).map_err(|reason| KeyError::new(self.path[..=depth].join("."), reason))?;
+        }
+        place.put(last, self.value.clone()).map_err(|reason| KeyError::new(self.path.join("."), reason))
+    }
+}
+
+/// A value that holds others.
+enum Place<'a> {
+    Table(&'a mut Table),
+    Array(&'a mut Vec<Value>),
+}
+
+impl<'a> Place<'a> {
+    fn enter(self, name: &str) -> Result<Self, Reason> {
+        let value = match self {
+            Self::Table(table) => table.entry(name.to_owned()).or_insert_with(|| Value::Table(Table::new())),
+            Self::Array(array) => entry(array, name)?,
+        };
+        match value {
+            Value::Table(table) => Ok(Self::Table(table)),
+            Value::Array(array) => Ok(Self::Array(array)),
+            _ => Err(Reason::HoldsNothing),
+        }
+    }
+
+    fn put(self, name: &str, value: Value) -> Result<(), Reason> {
+        match self {
+            Self::Table(table) => {
+                table.insert(name.to_owned(), value);
+            }
+            Self::Array(array) => *entry(array, name)? = value,
+        }
+        Ok(())
+    }
+}
+
+fn entry<'a>(array: &'a mut [Value], name: &str) -> Result<&'a mut Value, Reason> {
+    let count = array.len();
+    let index: usize = name.parse().map_err(|_| Reason::NoIndex)?;
+    array.get_mut(index).ok_or(Reason::NoSuch { what: "entries", count: count as u64 })
+}
+
+/// The name under which a value is read.
+const VALUE: &str = "value";
+
+fn read_value(text: &str) -> Value {
+    let read = toml::from_str::<Table>(&format!("{VALUE} = {text}"));
+    match read {
+        Ok(mut table) if table.len() == 1 => table.remove(VALUE).unwrap_or(Value::String(text.to_owned())),
+        _ => Value::String(text.to_owned()),
+    }
+}
--- /dev/null
+++ b/scale/tests/scenario.rs
@@ -0,0 +1,204 @@
+//! Scenarios: what makes no sense is named by file, key and reason before anything starts.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use stilelead_scale::scenario::Scenario;
+use stilelead_scale::scenario::load::{ScenarioError, check_machine, load, parse};
+use stilelead_scale::scenario::machine::Machine;
+
+const FILE: &str = "some/plain.toml";
+
+const PLAIN: &str = r#"
+name = "plain"
+duration_s = 10.0
+
+[fleet]
+services = 2
+hollow = 10
+real = 2
+regions = 2
+zones = 4
+
+[load]
+real_calls_per_s = 10.0
+depths = [{ hops = 1, share = 0.5 }, { hops = 3, share = 0.5 }]
+
+[[fault]]
+kind = "restart"
+at_s = 3.0
+"#;
+
+fn with(overrides: &[&str]) -> Result<Scenario, ScenarioError> {
+    let overrides: Vec<String> = overrides.iter().map(|text| (*text).to_owned()).collect();
+    parse(Path::new(FILE), PLAIN, &overrides)
+}
+
+/// What is said of the plain scenario with one change: `file: key: reason`.
+fn complaint(change: &str) -> String {
+    match with(&[change]) {
+        Ok(_) => panic!("{change} makes sense"),
+        Err(error) => error.to_string(),
+    }
+}
+
+fn shipped() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let entries = fs::read_dir(folder).expect("the folder of scenarios");
+    entries.map(|entry| entry.expect("an entry").path()).collect()
+}
+
+#[test]
+fn each_key_without_sense_is_named_with_file_and_reason() {
+    let cases = [
+        ("duration_s=0", "duration_s", "is 0, which is not from"),
+        ("duration_s=-1", "duration_s", "is -1, which is not from"),
+        ("duration_s=inf", "duration_s", "is not a finite number"),
+        ("load.real_calls_per_s=nan", "load.real_calls_per_s", "is not a finite number"),
+        ("duration_s=1e9", "duration_s", "which is not from"),
+        ("ready_within_s=0", "ready_within_s", "which is not from"),
+        ("fleet.real=191", "fleet.real", "is 191, which is not from 0 to 190"),
+        ("fleet.zones=1", "fleet.zones", "is 1, which is not from 2"),
+        ("fleet.regions=0", "fleet.regions", "is 0, which is not from 1"),
+        ("fleet.zones=5", "fleet.zones", "not spread evenly"),
+        ("fleet.hollow=3", "fleet.hollow", "two hollow copies at least"),
+        ("load.hollow_calls_per_s=-1", "load.hollow_calls_per_s", "which is not from 0"),
+        ("load.unsafe_share=1.5", "load.unsafe_share", "is 1.5, which is not from 0 to 1"),
+        ("load.depths.0.hops=0", "load.depths.0.hops", "is 0, which is not from 1 to 64"),
+        ("load.depths.1.hops=65", "load.depths.1.hops", "is 65, which is not from 1 to 64"),
+        ("load.depths.1.share=0.4", "load.depths", "add up to 0.9, not to 1"),
+        ("load.depths=[]", "load.depths", "add up to"),
+        ("load.deadline_s=0", "load.deadline_s", "which is not from"),
+        ("node.error_share=-0.1", "node.error_share", "which is not from 0 to 1"),
+        ("node.work_ms=0", "node.work_ms", "which is not from"),
+        ("control.replicas=4", "control.replicas", "is 4, which is not from 1 to 3"),
+        ("control.calls_per_s=0", "control.calls_per_s", "which is not from"),
+        ("changes.settings_at_s=[1, 11]", "changes.settings_at_s.1", "ends at 11 s, after the load's 10 s"),
+        ("fault.0.at_s=11", "fault.0.at_s", "ends at 11 s, after the load's 10 s"),
+        ("fault.0.for_s=8", "fault.0.for_s", "ends at 11 s, after the load's 10 s"),
+        ("fault.0.count=0", "fault.0.count", "is 0, which is not from 1"),
+        ("fault.0.count=19", "fault.0.count", "there are 18 nodes"),
+        ("fault.0={ kind = 'zone-lost', at_s = 1, place = 4 }", "fault.0.place", "there are 4 zones"),
+        ("fault.0={ kind = 'region-cut', at_s = 1, for_s = 1, place = 2 }", "fault.0.place", "2 regions"),
+        ("fault.0={ kind = 'region-cut', at_s = 1 }", "fault.0.for_s", "lasts some time"),
+        (
+            "fault.0={ kind = 'control-lost', at_s = 1, for_s = 1, place = 1, count = 3 }",
+            "fault.0.count",
+            "3 replicas",
+        ),
+        ("fault.0={ kind = 'balancer-killed', at_s = 1, count = 3 }", "fault.0.count", "2 real balancers"),
+    ];
+    for (change, key, reason) in cases {
+        let said = complaint(change);
+        assert!(said.starts_with(&format!("{FILE}: {key}: ")), "{change}: {said}");
+        assert!(said.contains(reason), "{change}: {said}");
+    }
+}
+
+#[test]
+fn unknown_keys_and_values_of_another_type_are_named() {
+    let cases = [
+        ("fleet.hollo=3", "fleet.hollo", "unknown field `hollo`"),
+        ("fault.0.when=3", "fault.0.when", "unknown field `when`"),
+        ("speed=3", "speed", "unknown field `speed`"),
+        ("node.cores=many", "node.cores", "invalid type: string \"many\""),
+        ("fleet.hollow=-5", "fleet.hollow", "invalid value: integer `-5`"),
+        ("fault.0.kind=fire", "fault.0.kind", "unknown variant `fire`"),
+    ];
+    for (change, key, reason) in cases {
+        let said = complaint(change);
+        assert!(said.starts_with(&format!("{FILE}: {key}: ")), "{change}: {said}");
+        assert!(said.contains(reason), "{change}: {said}");
+    }
+}
+
+#[test]
+fn a_text_that_is_no_scenario_is_named_by_line_or_missing_key() {
+    let cases = [
+        ("name = \"a\"\nduration_s = = 3\n", "line 2"),
+        ("name = \"a\"\n", "missing field `duration_s`"),
+        ("name = \"a\"\nname = \"b\"\n", "duplicate key"),
+    ];
+    for (text, reason) in cases {
+        let said = parse(Path::new(FILE), text, &[]).expect_err("no scenario").to_string();
+        assert!(said.starts_with(FILE), "{said}");
+        assert!(said.contains(reason), "{said}");
+    }
+    let said = load(Path::new("no/such.toml"), &[]).expect_err("no file").to_string();
+    assert!(said.starts_with("no/such.toml: cannot be read"), "{said}");
+}
+
+#[test]
+fn overrides_go_before_the_file() {
+    let scenario = with(&[
+        "fleet.hollow=200",
+        "fault.0.at_s=4",
+        "load.depths.1.hops=9",
+        "name = other",
+        "node.load_reports=false",
+        "changes.settings_at_s=[1, 2.5]",
+    ])
+    .expect("a scenario");
+    assert_eq!(scenario.fleet.hollow, 200);
+    assert_eq!(scenario.faults[0].at_s, 4.0);
+    assert_eq!(scenario.load.depths[1].hops, 9);
+    assert_eq!(scenario.name, "other");
+    assert!(!scenario.node.load_reports);
+    assert_eq!(scenario.changes.settings_at_s, [1.0, 2.5]);
+}
+
+#[test]
+fn overrides_without_a_place_are_named() {
+    let cases = [
+        ("fleet.hollow", "fleet.hollow", "has no value"),
+        ("fleet..hollow=1", "fleet..hollow", "empty name"),
+        ("=1", "", "empty name"),
+        ("name.first=1", "name", "holds no keys"),
+        ("fault.1.at_s=1", "fault.1", "out of range: there are 1 entries"),
+        ("fault.first.at_s=1", "fault.first", "named by its number"),
+    ];
+    for (change, key, reason) in cases {
+        let said = complaint(change);
+        assert!(said.starts_with(&format!("{FILE}: {key}: ")), "{change}: {said}");
+        assert!(said.contains(reason), "{change}: {said}");
+    }
+}
+
+#[test]
+fn a_value_cannot_smuggle_in_a_second_key() {
+    let scenario = with(&["name=\"a\"\nduration_s = 5"]).expect("a scenario");
+    assert_eq!(scenario.duration_s, 10.0);
+    assert_eq!(scenario.name, "\"a\"\nduration_s = 5");
+}
+
+#[test]
+fn more_than_the_machine_has_is_named() {
+    let scenario = with(&["fleet.real=10", "fleet.memory_mb=100", "fleet.sockets=1000"]).expect("a scenario");
+    let check = |machine: Machine| {
+        check_machine(Path::new(FILE), &scenario, &machine).map_err(|error| error.to_string())
+    };
+    let ample = Machine { memory_mb: 4096, descriptors: 20_000 };
+    assert_eq!(check(ample), Ok(()));
+    let said = check(Machine { memory_mb: 2000, ..ample }).expect_err("too little memory");
+    assert!(said.starts_with(&format!("{FILE}: fleet.memory_mb: needs ")), "{said}");
+    assert!(said.ends_with("this machine allows 1000"), "{said}");
+    let said = check(Machine { descriptors: 10_000, ..ample }).expect_err("too few descriptors");
+    assert!(said.starts_with(&format!("{FILE}: fleet.sockets: needs ")), "{said}");
+}
+
+#[test]
+fn this_machine_tells_its_limits() {
+    let machine = Machine::look().expect("a kernel that tells");
+    assert!(machine.memory_mb > 0 && machine.descriptors > 0);
+}
+
+#[test]
+fn every_shipped_scenario_makes_sense() {
+    let files = shipped();
+    assert!(files.len() >= 8, "{files:?}");
+    for file in files {
+        if let Err(error) = load(&file, &[]) {
+            panic!("{error}");
+        }
+    }
+}
