--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod cli;
 pub mod record;
+pub mod report;
 pub mod scenario;
+pub mod table;
 pub mod topology;
--- /dev/null
+++ b/scale/src/report.rs
@@ -0,0 +1,228 @@
+//! The report of a run: one JSON file, from what was measured.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use self::calls::Calls;
+use crate::record::{ControlUsage, Measured, ProcessUsage, Times, place};
+use crate::scenario::Scenario;
+use crate::topology::{Carrier, CopyId};
+
+mod calls;
+mod figures;
+mod recovery;
+
+pub use calls::{Counts, Series};
+pub use figures::{AddedLatency, Delay, Latency, MeanMax};
+pub use recovery::{FaultSpan, Recovery, ServedShare};
+
+/// Depths whose latency is always named.
+const DEPTHS: [u32; 3] = [1, 9, 27];
+
+/// What a report is made from, beside what was measured.
+#[derive(Debug, Clone)]
+pub struct Run<'a> {
+    /// The scenario.
+    pub scenario: &'a Scenario,
+    /// Start of the load; `None` if it never came to it.
+    pub start: Option<Instant>,
+    /// Seconds of load that were played.
+    pub played_s: f64,
+    /// When the faults began and ended.
+    pub faults: Vec<FaultSpan>,
+    /// What control carried for each copy during the load.
+    pub control: Vec<ControlUsage>,
+    /// Changes of lists that were made.
+    pub list_changes: u64,
+    /// Why the run did not come to its end.
+    pub ended_early: Option<String>,
+}
+
+/// Attempts at each hop over the calls that were made at that hop.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct AttemptsPerCall {
+    /// By hop, from 1.
+    pub by_hop: BTreeMap<u32, f64>,
+    /// Attempts at the deepest hop over the first-hop calls of that depth.
+    pub deepest_over_first: Option<f64>,
+}
+
+/// New settings.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct SettingsInForce {
+    /// From the new settings to when a copy decides by them; `None` if none ever did.
+    #[serde(flatten)]
+    pub delay: Option<Delay>,
+    /// Copies that never did.
+    pub missed: u64,
+}
+
+/// The report of a run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The scenario's name.
+    pub name: String,
+    /// What was scaled down from the modelled fleet, and by how much.
+    pub scale: String,
+    /// The seed of all chance.
+    pub seed: u64,
+    /// Seconds of load that were played.
+    pub duration_s: f64,
+    /// The run did not come to its end.
+    pub partial: bool,
+    /// Why it did not.
+    pub partial_reason: Option<String>,
+    /// Real balancers.
+    pub real: u32,
+    /// Hollow balancers.
+    pub hollow: u32,
+    /// All calls.
+    #[serde(flatten)]
+    pub all: Counts,
+    /// Calls to real balancers.
+    pub real_calls: Counts,
+    /// Calls to hollow balancers.
+    pub hollow_calls: Counts,
+    /// Requests that must not run twice and did.
+    pub duplicated: u64,
+    /// Cold nodes that were pushed over.
+    pub cold_falls: u64,
+    /// What one hop through a real balancer adds.
+    pub added_latency_us: Option<AddedLatency>,
+    /// One hop through a real balancer.
+    pub one_hop_latency_us: Option<Latency>,
+    /// The same calls sent straight to a node.
+    pub direct_latency_us: Option<Latency>,
+    /// Calls through real balancers by depth.
+    pub depth_latency_us: BTreeMap<u32, Option<Latency>>,
+    /// Calls through hollow balancers by depth, in modelled time.
+    pub hollow_depth_latency_us: BTreeMap<u32, Option<Latency>>,
+    /// Attempts of real balancers.
+    pub attempts_per_call: AttemptsPerCall,
+    /// Attempts of hollow balancers.
+    pub hollow_attempts_per_call: AttemptsPerCall,
+    /// Bytes a second from control to a copy: mean and highest over the copies.
+    pub control_bytes_per_s: Option<MeanMax>,
+    /// Calls to control during the load, by all copies.
+    pub control_calls: u64,
+    /// Of these, turned away with 503.
+    pub control_turned_away: u64,
+    /// Percent of a core of a real balancer without calls: mean and highest over the copies; `None` with calls.
+    pub control_core_percent: Option<MeanMax>,
+    /// Percent of a core of a real balancer, calls or not.
+    pub balancer_core_percent: Option<MeanMax>,
+    /// Percent of a core of the hollow copies' threads, by copy.
+    pub hollow_core_percent: Option<f64>,
+    /// Resident memory of a real balancer in megabytes: mean and highest over all looks.
+    pub memory_mb: Option<MeanMax>,
+    /// Descriptors of a real balancer.
+    pub descriptors: Option<MeanMax>,
+    /// Wake-ups a second of a real balancer.
+    pub wakeups_per_s: Option<MeanMax>,
+    /// Changes of lists that were made.
+    pub list_changes: u64,
+    /// From a list change to its arrival at a copy.
+    pub told_s: Option<Delay>,
+    /// From a list change to when a copy decides by it.
+    pub in_force_s: Option<Delay>,
+    /// From new settings to when a copy decides by them.
+    pub settings_in_force_s: SettingsInForce,
+    /// What each fault did to the share of calls served.
+    pub recovery_s: Vec<Recovery>,
+    /// Calls by the second in which they were due.
+    pub series: Series,
+}
+
+impl Report {
+    /// Puts the figures of a run together.
+    #[must_use]
+    pub fn of(run: &Run<'_>, measured: &Measured) -> Self {
+        let scenario = run.scenario;
+        let calls = Calls::of(run, &measured.calls);
+        let one_hop = Latency::of(&measured.one_hop_us);
+        let direct = Latency::of(&measured.direct_us);
+        let core = by_copy(&measured.processes, |usage| usage.core_percent);
+        let idle = scenario.load.real_calls_per_s == 0.0 && scenario.load.direct_calls_per_s == 0.0;
+        let look = |value: fn(&ProcessUsage) -> f64| {
+            MeanMax::of(measured.processes.iter().map(|(_, usage)| value(usage)))
+        };
+        let hollow_copies = f64::from(scenario.fleet.hollow);
+        let hollow_core = 100.0 * measured.hollow_core_s / run.played_s / hollow_copies;
+        Self {
+            name: scenario.name.clone(),
+            scale: scenario.scale.clone(),
+            seed: scenario.seed,
+            duration_s: run.played_s,
+            partial: run.ended_early.is_some(),
+            partial_reason: run.ended_early.clone(),
+            real: scenario.fleet.real,
+            hollow: scenario.fleet.hollow,
+            all: calls.all,
+            real_calls: calls.by_carrier[place(Carrier::Real)],
+            hollow_calls: calls.by_carrier[place(Carrier::Hollow)],
+            duplicated: measured.duplicated,
+            cold_falls: measured.cold_falls,
+            added_latency_us: AddedLatency::of(one_hop, direct),
+            one_hop_latency_us: one_hop,
+            direct_latency_us: direct,
+            depth_latency_us: by_depth(&measured.by_hops_us),
+            hollow_depth_latency_us: by_depth(&calls.hollow_us),
+            attempts_per_call: attempts(measured, Carrier::Real),
+            hollow_attempts_per_call: attempts(measured, Carrier::Hollow),
+            control_bytes_per_s: MeanMax::of(
+                run.control
+                    .iter()
+                    .map(|usage| usage.bytes as f64 / run.played_s)
+                    .filter(|rate| rate.is_finite()),
+            ),
+            control_calls: run.control.iter().map(|usage| usage.calls).sum(),
+            control_turned_away: run.control.iter().map(|usage| usage.turned_away).sum(),
+            control_core_percent: core.filter(|_| idle),
+            balancer_core_percent: core,
+            hollow_core_percent: hollow_core.is_finite().then_some(hollow_core),
+            memory_mb: look(|usage| usage.memory_mb),
+            descriptors: look(|usage| usage.descriptors as f64),
+            wakeups_per_s: look(|usage| usage.wakeups_per_s),
+            list_changes: run.list_changes,
+            told_s: Delay::of(&measured.told_us),
+            in_force_s: Delay::of(&measured.in_force_us),
+            settings_in_force_s: SettingsInForce {
+                delay: Delay::of(&measured.settings_us),
+                missed: measured.settings_missed,
+            },
+            recovery_s: run.faults.iter().map(|fault| calls.share.recovery(*fault)).collect(),
+            series: calls.series,
+        }
+    }
+}
+
+fn by_depth(times: &BTreeMap<u32, Times>) -> BTreeMap<u32, Option<Latency>> {
+    let mut latencies: BTreeMap<u32, Option<Latency>> = DEPTHS.into_iter().map(|hops| (hops, None)).collect();
+    latencies.extend(times.iter().map(|(hops, times)| (*hops, Latency::of(times))));
+    latencies
+}
+
+fn attempts(measured: &Measured, carrier: Carrier) -> AttemptsPerCall {
+    let calls = &measured.hop_calls[place(carrier)];
+    let attempts = &measured.attempts[place(carrier)];
+    let share = |hop: &u32, calls: u64| attempts.get(hop).map(|attempts| *attempts as f64 / calls as f64);
+    let by_hop = calls.iter().filter_map(|(hop, calls)| Some((*hop, share(hop, *calls)?))).collect();
+    let of_carrier = || measured.calls.iter().filter(|call| call.carrier == carrier);
+    let deepest = of_carrier().map(|call| call.hops).max();
+    let deepest_over_first = deepest.and_then(|deepest| {
+        let first = of_carrier().filter(|call| call.hops == deepest).count();
+        share(&deepest, first as u64)
+    });
+    AttemptsPerCall { by_hop, deepest_over_first }
+}
+
+/// The mean and the highest over the copies, of each copy's mean over its looks.
+fn by_copy(looks: &[(CopyId, ProcessUsage)], value: fn(&ProcessUsage) -> f64) -> Option<MeanMax> {
+    let mut copies: BTreeMap<CopyId, Vec<f64>> = BTreeMap::new();
+    for (copy, usage) in looks {
+        copies.entry(*copy).or_default().push(value(usage));
+    }
+    MeanMax::of(copies.into_values().filter_map(|values| MeanMax::of(values).map(|of| of.mean)))
+}
--- /dev/null
+++ b/scale/src/report/calls.rs
@@ -0,0 +1,107 @@
+//! Calls sorted by how they ended, by depth and by time.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use super::Run;
+use super::recovery::ServedShare;
+use crate::record::{Call, CallEnd, Times, place};
+use crate::topology::Carrier;
+
+/// Calls by how they ended; `calls` is the sum of the others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// First-hop calls, each with its repeats by the client.
+    pub calls: u64,
+    /// Answered with 200 in time.
+    pub served: u64,
+    /// Answered with 429 or 503.
+    pub refused: u64,
+    /// Any other answer, or none in time.
+    pub failed: u64,
+    /// Taken and never answered.
+    pub lost: u64,
+    /// The client had left.
+    pub left: u64,
+}
+
+/// Calls by the second in which they were due.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Series {
+    /// Served.
+    pub served: Vec<u64>,
+    /// Refused.
+    pub refused: Vec<u64>,
+    /// Failed or lost.
+    pub failed: Vec<u64>,
+}
+
+/// Calls put in order for the report.
+pub(super) struct Calls {
+    /// All of them.
+    pub(super) all: Counts,
+    /// By carrier, real first.
+    pub(super) by_carrier: [Counts; 2],
+    /// Served calls through hollow balancers by depth.
+    pub(super) hollow_us: BTreeMap<u32, Times>,
+    /// The share served over time.
+    pub(super) share: ServedShare,
+    /// By second.
+    pub(super) series: Series,
+}
+
+impl Calls {
+    /// Sorts the calls of a run.
+    pub(super) fn of(run: &Run<'_>, calls: &[Call]) -> Self {
+        let seconds = run.played_s.ceil().max(1.0) as usize;
+        let empty = vec![0; seconds];
+        let mut sorted = Self {
+            all: Counts::default(),
+            by_carrier: [Counts::default(); 2],
+            hollow_us: BTreeMap::new(),
+            share: ServedShare::over(run.played_s),
+            series: Series { served: empty.clone(), refused: empty.clone(), failed: empty },
+        };
+        for call in calls {
+            sorted.add(run.start, call);
+        }
+        sorted
+    }
+
+    fn add(&mut self, start: Option<Instant>, call: &Call) {
+        self.all.add(call.end);
+        self.by_carrier[place(call.carrier)].add(call.end);
+        if call.carrier == Carrier::Hollow && call.end == CallEnd::Served {
+            self.hollow_us.entry(call.hops).or_default().add(call.took);
+        }
+        let due = call.at.checked_sub(call.took);
+        let due_s =
+            due.zip(start).map_or(0.0, |(due, start)| due.saturating_duration_since(start).as_secs_f64());
+        if call.end != CallEnd::Left {
+            self.share.add(due_s, call.end == CallEnd::Served);
+        }
+        let series = match call.end {
+            CallEnd::Served => &mut self.series.served,
+            CallEnd::Refused => &mut self.series.refused,
+            CallEnd::Failed | CallEnd::Lost => &mut self.series.failed,
+            CallEnd::Left => return,
+        };
+        let last = series.len() - 1;
+        series[(due_s as usize).min(last)] += 1;
+    }
+}
+
+impl Counts {
+    fn add(&mut self, end: CallEnd) {
+        self.calls += 1;
+        *match end {
+            CallEnd::Served => &mut self.served,
+            CallEnd::Refused => &mut self.refused,
+            CallEnd::Failed => &mut self.failed,
+            CallEnd::Lost => &mut self.lost,
+            CallEnd::Left => &mut self.left,
+        } += 1;
+    }
+}
--- /dev/null
+++ b/scale/src/report/recovery.rs
@@ -0,0 +1,105 @@
+//! How long the served share takes to come back after a fault.
+
+use serde::Serialize;
+
+use crate::scenario::FaultKind;
+
+/// Steps into which a second is cut.
+const STEPS_PER_S: usize = 10;
+/// Seconds for which the share must hold.
+const HOLD_S: usize = 2;
+/// How far below its value before the fault the share may be.
+const TOLERANCE: f64 = 0.02;
+
+/// When a fault began and ended, in seconds from the start of the load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FaultSpan {
+    /// What happened.
+    pub kind: FaultKind,
+    /// Its start.
+    pub at_s: f64,
+    /// Its end; the start of a fault that takes no time.
+    pub ends_s: f64,
+}
+
+/// What a fault did to the share of calls that were served.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Recovery {
+    /// What happened.
+    pub kind: FaultKind,
+    /// Its start, in seconds from the start of the load.
+    pub at_s: f64,
+    /// Its end.
+    pub ends_s: f64,
+    /// Share of calls served in the second before.
+    pub share_before: Option<f64>,
+    /// Lowest share of a second from its start until the share was back, or until the end of the load.
+    pub lowest_share: Option<f64>,
+    /// Seconds from its end until the share was back; `None` if it never was, or could not be told.
+    pub recovery_s: Option<f64>,
+}
+
+/// Calls by when they were due, in tenths of a second from the start of the load.
+#[derive(Debug, Clone, Default)]
+pub struct ServedShare {
+    steps: Vec<Step>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Step {
+    calls: u64,
+    served: u64,
+}
+
+impl ServedShare {
+    /// Of a load of so many seconds.
+    #[must_use]
+    pub fn over(duration_s: f64) -> Self {
+        Self { steps: vec![Step::default(); step(duration_s).max(1)] }
+    }
+
+    /// Adds a call that was due then; calls whose clients left are not to be added.
+    pub fn add(&mut self, due_s: f64, served: bool) {
+        let last = self.steps.len() - 1;
+        let step = &mut self.steps[step(due_s).min(last)];
+        step.calls += 1;
+        step.served += u64::from(served);
+    }
+
+    /// What a fault did.
+    #[must_use]
+    pub fn recovery(&self, fault: FaultSpan) -> Recovery {
+        let share_before = self.second_until(step(fault.at_s));
+        let back = share_before.and_then(|before| self.back(step(fault.ends_s), before - TOLERANCE));
+        let until = back.unwrap_or(self.steps.len());
+        let shares = (step(fault.at_s) + 1..=until).filter_map(|end| self.second_until(end));
+        Recovery {
+            kind: fault.kind,
+            at_s: fault.at_s,
+            ends_s: fault.ends_s,
+            share_before,
+            lowest_share: shares.reduce(f64::min),
+            recovery_s: back.map(|end| (end as f64 / STEPS_PER_S as f64 - fault.ends_s).max(0.0)),
+        }
+    }
+
+    /// The first step from `from` on at whose end the share is back and stays so for the time that it must.
+    fn back(&self, from: usize, least: f64) -> Option<usize> {
+        let hold = HOLD_S * STEPS_PER_S;
+        let enough = |end: usize| self.second_until(end).is_some_and(|share| share >= least);
+        (from..=self.steps.len().checked_sub(hold)?).find(|start| (*start..=start + hold).all(enough))
+    }
+
+    /// The share over the second that ends with a step; `None` without calls in it.
+    fn second_until(&self, end: usize) -> Option<f64> {
+        let steps = self.steps.get(end.saturating_sub(STEPS_PER_S)..end)?;
+        let calls: u64 = steps.iter().map(|step| step.calls).sum();
+        let served: u64 = steps.iter().map(|step| step.served).sum();
+        (calls > 0).then(|| served as f64 / calls as f64)
+    }
+}
+
+/// The step in which a time falls.
+fn step(seconds: f64) -> usize {
+    (seconds.max(0.0) * STEPS_PER_S as f64).round() as usize
+}
--- a/scale/src/scenario/check.rs
+++ b/scale/src/scenario/check.rs
@@ -59,7 +59,11 @@
         count("fleet.zones", self.zones, self.regions, 64)?;
         count("fleet.memory_mb", self.memory_mb, 8, 4096)?;
         count("fleet.sockets", self.sockets, SOCKETS_LEAST, 65_536)?;
-        unless(self.zones % self.regions != 0, "fleet.zones", "are not spread evenly over the regions")?;
+        unless(
+            !self.zones.is_multiple_of(self.regions),
+            "fleet.zones",
+            "are not spread evenly over the regions",
+        )?;
         unless(self.hollow + self.real == 0, "fleet.hollow", "there is no balancer at all")?;
         unless(self.hollow > 0 && self.services == 0, "fleet.services", "hollow copies need a service")?;
         unless(
--- /dev/null
+++ b/scale/src/table.rs
@@ -0,0 +1,168 @@
+//! The report as a table for people.
+
+use std::fmt::{self, Display, Formatter};
+
+use crate::report::{AttemptsPerCall, Delay, Latency, MeanMax, Recovery, Report};
+
+/// What stands where there is no figure.
+const NONE: &str = "-";
+/// Spaces between columns.
+const GAP: usize = 2;
+
+/// Rows of cells, printed with aligned columns.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Adds a row.
+    pub fn row<T: Display>(&mut self, cells: impl IntoIterator<Item = T>) {
+        self.rows.push(cells.into_iter().map(|cell| cell.to_string()).collect());
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or_default();
+        let width = |column| {
+            self.rows.iter().filter_map(move |row| row.get(column)).map(|cell: &String| cell.chars().count())
+        };
+        (0..columns).map(|column| width(column).max().unwrap_or_default()).collect()
+    }
+}
+
+impl Display for Table {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        for row in &self.rows {
+            let mut line = String::new();
+            for (cell, width) in row.iter().zip(&widths) {
+                line.push_str(&format!("{cell:<width$}", width = width + GAP));
+            }
+            writeln!(formatter, "{}", line.trim_end())?;
+        }
+        Ok(())
+    }
+}
+
+/// The table of a report.
+#[must_use]
+pub fn of_report(report: &Report) -> Table {
+    let mut table = Table::default();
+    head(&mut table, report);
+    calls(&mut table, report);
+    latencies(&mut table, report);
+    attempts(&mut table, "attempts a call, real", &report.attempts_per_call);
+    attempts(&mut table, "attempts a call, hollow", &report.hollow_attempts_per_call);
+    control(&mut table, report);
+    delays(&mut table, report);
+    for recovery in &report.recovery_s {
+        fault(&mut table, recovery);
+    }
+    table
+}
+
+fn head(table: &mut Table, report: &Report) {
+    let ended = report.partial_reason.as_ref().map(|reason| format!("partial: {reason}"));
+    table.row(["run".to_owned(), report.name.clone(), ended.unwrap_or("whole".to_owned())]);
+    if !report.scale.is_empty() {
+        table.row(["scaled", &report.scale]);
+    }
+    table.row(["seed".to_owned(), report.seed.to_string()]);
+    table.row(["load".to_owned(), format!("{:.1} s", report.duration_s)]);
+    table.row(["balancers".to_owned(), format!("{} real", report.real), format!("{} hollow", report.hollow)]);
+}
+
+fn calls(table: &mut Table, report: &Report) {
+    table.row(["", "calls", "served", "refused", "failed", "lost", "left"]);
+    let rows = [("all calls", report.all), ("real", report.real_calls), ("hollow", report.hollow_calls)];
+    for (name, counts) in rows {
+        let figures = [counts.calls, counts.served, counts.refused, counts.failed, counts.lost, counts.left];
+        table.row(std::iter::once(name.to_owned()).chain(figures.map(|figure| figure.to_string())));
+    }
+    table.row(["run twice".to_owned(), report.duplicated.to_string()]);
+    table.row(["cold nodes fallen".to_owned(), report.cold_falls.to_string()]);
+}
+
+fn latencies(table: &mut Table, report: &Report) {
+    table.row(["latency", "p50", "p99", "p99.9", "calls"]);
+    let added = report.added_latency_us;
+    let added = added.map(|added| [added.p50, added.p99, added.p999].map(|us| format!("{us} us")));
+    if let Some(added) = added {
+        table.row(std::iter::once("added, one hop".to_owned()).chain(added));
+    }
+    latency(table, "straight", report.direct_latency_us);
+    for (hops, figures) in &report.depth_latency_us {
+        latency(table, &format!("real, {hops} deep"), *figures);
+    }
+    for (hops, figures) in &report.hollow_depth_latency_us {
+        latency(table, &format!("hollow, {hops} deep (modelled)"), *figures);
+    }
+}
+
+fn latency(table: &mut Table, name: &str, latency: Option<Latency>) {
+    let Some(latency) = latency else { return };
+    let times = [latency.p50, latency.p99, latency.p999].map(|us| format!("{us} us"));
+    let count = latency.count.to_string();
+    table.row(std::iter::once(name.to_owned()).chain(times).chain([count]));
+}
+
+fn attempts(table: &mut Table, name: &str, attempts: &AttemptsPerCall) {
+    if attempts.by_hop.is_empty() {
+        return;
+    }
+    let mut by_hop = attempts.by_hop.iter().map(|(hop, share)| format!("hop {hop}: {share:.3}"));
+    let (first, last) = (by_hop.next(), by_hop.next_back());
+    let deepest = attempts.deepest_over_first.map(|share| format!("deepest over first: {share:.3}"));
+    table.row(std::iter::once(name.to_owned()).chain(first).chain(last).chain(deepest));
+}
+
+fn control(table: &mut Table, report: &Report) {
+    table.row(["by balancer", "mean", "max"]);
+    let rows: [(&str, Option<MeanMax>, &str); 6] = [
+        ("control, bytes", report.control_bytes_per_s, "B/s"),
+        ("control, core", report.control_core_percent, "%"),
+        ("core", report.balancer_core_percent, "%"),
+        ("memory", report.memory_mb, "MB"),
+        ("descriptors", report.descriptors, ""),
+        ("wake-ups", report.wakeups_per_s, "1/s"),
+    ];
+    for (name, figures, unit) in rows {
+        let cell = |value: f64| format!("{value:.2} {unit}").trim_end().to_owned();
+        let cells = figures.map_or([NONE.to_owned(), NONE.to_owned()], |of| [cell(of.mean), cell(of.max)]);
+        table.row(std::iter::once(name.to_owned()).chain(cells));
+    }
+    if let Some(core) = report.hollow_core_percent {
+        table.row(["hollow copy, core".to_owned(), format!("{core:.3} %")]);
+    }
+    let turned_away = format!("{} turned away", report.control_turned_away);
+    table.row(["calls to control".to_owned(), report.control_calls.to_string(), turned_away]);
+}
+
+fn delays(table: &mut Table, report: &Report) {
+    table.row(["changes", "p50", "p99", "max", "copies"]);
+    table.row(["lists changed".to_owned(), report.list_changes.to_string()]);
+    delay(table, "list told", report.told_s);
+    delay(table, "list in force", report.in_force_s);
+    let settings = report.settings_in_force_s;
+    delay(table, "settings in force", settings.delay);
+    if settings.delay.is_some() || settings.missed > 0 {
+        table.row(["settings missed by".to_owned(), settings.missed.to_string()]);
+    }
+}
+
+fn delay(table: &mut Table, name: &str, delay: Option<Delay>) {
+    let Some(delay) = delay else { return };
+    let times = [delay.p50, delay.p99, delay.max].map(|seconds| format!("{seconds:.3} s"));
+    table.row(std::iter::once(name.to_owned()).chain(times).chain([delay.count.to_string()]));
+}
+
+fn fault(table: &mut Table, recovery: &Recovery) {
+    let share = |share: Option<f64>| share.map_or(NONE.to_owned(), |share| format!("{:.1} %", share * 100.0));
+    table.row([
+        format!("fault {:?}", recovery.kind),
+        format!("{:.1}..{:.1} s", recovery.at_s, recovery.ends_s),
+        format!("served before {}", share(recovery.share_before)),
+        format!("lowest {}", share(recovery.lowest_share)),
+        recovery.recovery_s.map_or("not back".to_owned(), |seconds| format!("back in {seconds:.1} s")),
+    ]);
+}
--- /dev/null
+++ b/scale/tests/report.rs
@@ -0,0 +1,220 @@
+//! The report and its table on fixed inputs.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use stilelead_scale::record::{Call, CallEnd, ControlUsage, ProcessUsage, Record};
+use stilelead_scale::report::{FaultSpan, Report, Run, ServedShare};
+use stilelead_scale::scenario::load::parse;
+use stilelead_scale::scenario::{FaultKind, Scenario};
+use stilelead_scale::table;
+use stilelead_scale::topology::{Carrier, CopyId};
+
+const PLAIN: &str = r#"
+name = "plain"
+scale = "a tenth"
+seed = 7
+duration_s = 10.0
+fleet = { services = 2, hollow = 4, real = 2 }
+load = { real_calls_per_s = 10.0 }
+"#;
+
+fn scenario(overrides: &[&str]) -> Scenario {
+    let overrides: Vec<String> = overrides.iter().map(|text| (*text).to_owned()).collect();
+    parse(Path::new("plain.toml"), PLAIN, &overrides).expect("a scenario")
+}
+
+fn run(scenario: &Scenario, start: Instant) -> Run<'_> {
+    Run {
+        scenario,
+        start: Some(start),
+        played_s: 10.0,
+        faults: Vec::new(),
+        control: Vec::new(),
+        list_changes: 0,
+        ended_early: None,
+    }
+}
+
+fn call(start: Instant, due_ms: u64, carrier: Carrier, hops: u32, end: CallEnd, took_ms: u64) -> Call {
+    let took = Duration::from_millis(took_ms);
+    Call { carrier, hops, end, took, at: start + Duration::from_millis(due_ms) + took }
+}
+
+fn as_json(report: &Report) -> Value {
+    serde_json::to_value(report).expect("a report is JSON")
+}
+
+#[test]
+fn calls_are_counted_by_end_carrier_depth_and_second() {
+    let (scenario, start, record) = (scenario(&[]), Instant::now(), Record::default());
+    record.call(call(start, 100, Carrier::Real, 1, CallEnd::Served, 4));
+    record.call(call(start, 900, Carrier::Real, 9, CallEnd::Served, 300));
+    record.call(call(start, 1100, Carrier::Real, 1, CallEnd::Refused, 4));
+    record.call(call(start, 2100, Carrier::Hollow, 5, CallEnd::Served, 50));
+    record.call(call(start, 2200, Carrier::Hollow, 5, CallEnd::Failed, 2000));
+    record.call(call(start, 2300, Carrier::Real, 1, CallEnd::Lost, 2500));
+    record.call(call(start, 9900, Carrier::Hollow, 5, CallEnd::Left, 20));
+    let report = as_json(&Report::of(&run(&scenario, start), &record.measured()));
+    let counts = |calls: u64, served: u64, refused: u64, failed: u64, lost: u64, left: u64| json!({"calls": calls, "served": served, "refused": refused, "failed": failed, "lost": lost, "left": left});
+    assert_eq!(report["real_calls"], counts(4, 2, 1, 0, 1, 0));
+    assert_eq!(report["hollow_calls"], counts(3, 1, 0, 1, 0, 1));
+    for (name, value) in counts(7, 3, 1, 1, 1, 1).as_object().expect("counts") {
+        assert_eq!(&report[name], value, "{name}");
+    }
+    assert_eq!(report["depth_latency_us"]["1"]["count"], 1);
+    assert!((299_000..302_000).contains(&report["depth_latency_us"]["9"]["p99"].as_u64().expect("played")));
+    assert_eq!(report["depth_latency_us"]["27"], Value::Null);
+    assert_eq!(report["hollow_depth_latency_us"]["5"]["count"], 1);
+    assert_eq!(report["series"]["served"], json!([2, 0, 1, 0, 0, 0, 0, 0, 0, 0]));
+    assert_eq!(report["series"]["refused"], json!([0, 1, 0, 0, 0, 0, 0, 0, 0, 0]));
+    assert_eq!(report["series"]["failed"], json!([0, 0, 2, 0, 0, 0, 0, 0, 0, 0]));
+}
+
+#[test]
+fn what_a_balancer_adds_is_the_difference_of_the_same_percentiles() {
+    let (scenario, start, record) = (scenario(&[]), Instant::now(), Record::default());
+    for number in 1..=1000 {
+        record.measured().one_hop_us.add(Duration::from_micros(number + 300));
+        record.measured().direct_us.add(Duration::from_micros(number));
+    }
+    let report = as_json(&Report::of(&run(&scenario, start), &record.measured()));
+    assert_eq!(report["added_latency_us"], json!({"p50": 300, "p99": 300, "p999": 300}));
+    let through = &report["one_hop_latency_us"];
+    assert_eq!([&through["p50"], &through["count"]], [&json!(800), &json!(1000)]);
+
+    let nothing = as_json(&Report::of(&run(&scenario, start), &Record::default().measured()));
+    assert_eq!(nothing["added_latency_us"], Value::Null);
+}
+
+#[test]
+fn attempts_are_told_by_hop_and_from_first_to_deepest() {
+    let (scenario, start, record) = (scenario(&[]), Instant::now(), Record::default());
+    for _ in 0..10 {
+        record.call(call(start, 0, Carrier::Hollow, 2, CallEnd::Served, 1));
+        record.hop_call(Carrier::Hollow, 1);
+    }
+    (0..12).for_each(|_| record.hop_call(Carrier::Hollow, 2));
+    (0..12).for_each(|_| record.attempt(Carrier::Hollow, 1));
+    (0..18).for_each(|_| record.attempt(Carrier::Hollow, 2));
+    let report = as_json(&Report::of(&run(&scenario, start), &record.measured()));
+    let expected = json!({"by_hop": {"1": 1.2, "2": 1.5}, "deepest_over_first": 1.8});
+    assert_eq!(report["hollow_attempts_per_call"], expected);
+    assert_eq!(report["attempts_per_call"], json!({"by_hop": {}, "deepest_over_first": null}));
+}
+
+fn usage(core_percent: f64, memory_mb: f64) -> ProcessUsage {
+    ProcessUsage { core_percent, memory_mb, descriptors: 20, wakeups_per_s: 5.0 }
+}
+
+#[test]
+fn processes_and_control_are_told_by_copy() {
+    let (start, record) = (Instant::now(), Record::default());
+    let looks = [(4, 1.0, 10.0), (4, 3.0, 12.0), (5, 4.0, 8.0), (5, 8.0, 10.0)];
+    for (copy, core, memory) in looks {
+        record.measured().processes.push((CopyId(copy), usage(core, memory)));
+    }
+    record.measured().hollow_core_s = 2.0;
+    let idle = scenario(&["load.real_calls_per_s=0"]);
+    let control = [1000, 2000, 6000].map(|bytes| ControlUsage { bytes, calls: 2, turned_away: 1 });
+    let measure = |scenario: &Scenario| {
+        let run = Run { control: control.to_vec(), ..run(scenario, start) };
+        as_json(&Report::of(&run, &record.measured()))
+    };
+    let report = measure(&idle);
+    assert_eq!(report["control_core_percent"], json!({"mean": 4.0, "max": 6.0}));
+    assert_eq!(report["memory_mb"], json!({"mean": 10.0, "max": 12.0}));
+    assert_eq!(report["control_bytes_per_s"], json!({"mean": 300.0, "max": 600.0}));
+    assert_eq!([&report["control_calls"], &report["control_turned_away"]], [&json!(6), &json!(3)]);
+    assert_eq!(report["hollow_core_percent"], json!(5.0));
+
+    let report = measure(&scenario(&[]));
+    assert_eq!(report["control_core_percent"], Value::Null);
+    assert_eq!(report["balancer_core_percent"], json!({"mean": 4.0, "max": 6.0}));
+}
+
+#[test]
+fn delays_are_told_in_seconds_with_the_copies_that_missed_them() {
+    let (scenario, start, record) = (scenario(&[]), Instant::now(), Record::default());
+    for ms in [100, 200, 4000] {
+        record.measured().told_us.add(Duration::from_millis(ms));
+        record.measured().settings_us.add(Duration::from_millis(ms));
+    }
+    record.measured().settings_missed = 2;
+    let report = as_json(&Report::of(&run(&scenario, start), &record.measured()));
+    let near = |value: &Value, expected: f64| {
+        let value = value.as_f64().expect("a number");
+        assert!((value - expected).abs() <= expected / 500.0, "{value} is not about {expected}");
+    };
+    near(&report["told_s"]["p50"], 0.2);
+    near(&report["told_s"]["max"], 4.0);
+    near(&report["settings_in_force_s"]["p99"], 4.0);
+    assert_eq!(report["settings_in_force_s"]["missed"], 2);
+    assert_eq!(report["in_force_s"], Value::Null);
+}
+
+/// 100 calls a second, all served but between two times, where `share` is.
+fn dip(from_s: f64, to_s: f64, share: f64) -> ServedShare {
+    let mut shares = ServedShare::over(10.0);
+    for number in 0..1000 {
+        let due_s = f64::from(number) / 100.0;
+        let dipped = due_s >= from_s && due_s < to_s;
+        shares.add(due_s, !dipped || f64::from(number % 10) / 10.0 < share);
+    }
+    shares
+}
+
+fn fault(at_s: f64, ends_s: f64) -> FaultSpan {
+    FaultSpan { kind: FaultKind::MachineLost, at_s, ends_s }
+}
+
+#[test]
+fn recovery_is_from_the_end_of_a_fault_to_a_served_share_that_holds() {
+    let recovery = dip(3.0, 5.0, 0.5).recovery(fault(3.0, 4.0));
+    assert_eq!(recovery.share_before, Some(1.0));
+    assert_eq!(recovery.lowest_share, Some(0.5));
+    let back = recovery.recovery_s.expect("it came back");
+    assert!((1.8..=2.1).contains(&back), "the second after 5.0 s holds no more failures: {back}");
+}
+
+#[test]
+fn a_fault_that_nothing_suffers_from_is_recovered_from_at_once() {
+    assert_eq!(dip(0.0, 0.0, 1.0).recovery(fault(3.0, 4.0)).recovery_s, Some(0.0));
+}
+
+#[test]
+fn a_share_that_does_not_hold_is_no_recovery() {
+    assert_eq!(dip(3.0, 8.5, 0.5).recovery(fault(3.0, 4.0)).recovery_s, None);
+    assert_eq!(dip(0.0, 0.0, 1.0).recovery(fault(9.0, 9.0)).recovery_s, None, "too near to the end to tell");
+    assert_eq!(ServedShare::over(10.0).recovery(fault(3.0, 4.0)).recovery_s, None, "nothing was called");
+}
+
+#[test]
+fn a_run_that_ended_early_says_so() {
+    let (scenario, record) = (scenario(&[]), Record::default());
+    let early = Some("real-0 ended: signal 9".to_owned());
+    let run = Run { start: None, played_s: 0.0, ended_early: early, ..run(&scenario, Instant::now()) };
+    let report = Report::of(&run, &record.measured());
+    let json = as_json(&report);
+    assert_eq!(
+        [&json["partial"], &json["seed"], &json["scale"]],
+        [&json!(true), &json!(7), &json!("a tenth")]
+    );
+    assert_eq!(json["partial_reason"], "real-0 ended: signal 9");
+    assert_eq!([&json["hollow_core_percent"], &json["control_bytes_per_s"]], [&Value::Null, &Value::Null]);
+    assert!(table::of_report(&report).to_string().contains("partial: real-0 ended: signal 9"));
+}
+
+#[test]
+fn the_table_is_aligned() {
+    let (scenario, start, record) = (scenario(&[]), Instant::now(), Record::default());
+    record.call(call(start, 100, Carrier::Real, 1, CallEnd::Served, 4));
+    let text = table::of_report(&Report::of(&run(&scenario, start), &record.measured())).to_string();
+    let heading = text.lines().find(|line| line.trim_start().starts_with("calls")).expect("a heading");
+    let row = text.lines().find(|line| line.starts_with("all calls")).expect("a row");
+    let (calls, served) = (heading.find("calls").expect("calls"), heading.find("served").expect("served"));
+    assert_eq!(row[calls..].split_whitespace().next(), Some("1"), "{text}");
+    assert_eq!(row[served..].split_whitespace().next(), Some("1"), "{text}");
+    assert!(row.as_bytes()[calls - 1] == b' ' && row.as_bytes()[served - 1] == b' ', "{text}");
+}
