Draw a run's faults and changes ahead from the seed

One seed must give one plan. Each fault becomes steps in their order: a restart drains, goes, stops and comes back cold; a lost machine is silent and control notices late. A restart that does not end within the load is refused.

--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -4,6 +4,8 @@
 //! clients) stand beside stand-in nodes and a stand-in control plane. Everything is on loopback.
 
 pub mod cli;
+pub mod faults;
+pub mod plan;
 pub mod record;
 pub mod report;
 pub mod scenario;
--- a/scale/src/scenario/check.rs
+++ b/scale/src/scenario/check.rs
@@ -1,5 +1,7 @@
 //! Whether a scenario makes sense, before anything starts.
 
+use crate::faults::RESTART_S;
+
 use super::load::{KeyError, Reason};
 use super::{Changes, Control, Depth, Fault, FaultKind, Fleet, Load, Node, Scenario};
 
@@ -157,9 +159,12 @@
         ends_in_time(&format!("{key}.at_s"), self.at_s, scenario.duration_s)?;
         ends_in_time(&for_s, self.at_s + self.for_s, scenario.duration_s)?;
         count(&format!("{key}.count"), self.count, 1, u32::MAX)?;
-        let lasts = matches!(self.kind, FaultKind::Release | FaultKind::RegionCut | FaultKind::ControlLost);
+        self.check_places(key, &scenario.fleet, scenario.control.replicas)?;
+        ends_in_time(&format!("{key}.count"), self.ends_s(), scenario.duration_s)?;
+        let lasts = matches!(self.kind, FaultKind::RegionCut | FaultKind::ControlLost);
         unless(lasts && self.for_s == 0.0, &for_s, "a fault of this kind lasts some time")?;
-        self.check_places(key, &scenario.fleet, scenario.control.replicas)
+        let short = self.kind == FaultKind::Release && self.for_s < RESTART_S;
+        unless(short, &for_s, "is shorter than one restart, 2.4 s")
     }
 
     fn check_places(&self, key: &str, fleet: &Fleet, replicas: u32) -> Result<(), KeyError> {
@@ -172,7 +177,7 @@
             FaultKind::Release => at_most(&count, self.count, 100, "nodes in a hundred"),
             FaultKind::RackLost | FaultKind::ZoneLost => below(&place, self.place, fleet.zones, "zones"),
             FaultKind::RegionCut => {
-                unless(fleet.regions < 2, "fleet.regions", "a cut needs two regions at least")?;
+                unless(fleet.regions != 2, "fleet.regions", "a cut is modelled between two regions")?;
                 below(&place, self.place, fleet.regions, "regions")
             }
             FaultKind::ControlLost => {
--- /dev/null
+++ b/scale/tests/plan.rs
@@ -0,0 +1,170 @@
+//! The plan of a run: all chance is the seed's, and each fault has its steps in their order.
+
+use std::path::Path;
+use std::time::Duration;
+
+use stilelead_scale::plan::{Action, NodeStatus, Plan, Step};
+use stilelead_scale::scenario::Scenario;
+use stilelead_scale::scenario::load::parse;
+use stilelead_scale::topology::{Carrier, NodeId, RegionId, Topology, ZoneId};
+
+const PLAIN: &str = r#"
+name = "plain"
+seed = 5
+duration_s = 40.0
+fleet = { services = 3, hollow = 60, real = 2, regions = 2, zones = 4 }
+load = { real_calls_per_s = 1.0 }
+"#;
+
+fn scenario(changes: &[&str]) -> Scenario {
+    let changes: Vec<String> = changes.iter().map(|text| (*text).to_owned()).collect();
+    parse(Path::new("plain.toml"), PLAIN, &changes).expect("a scenario")
+}
+
+fn draw(changes: &[&str]) -> (Plan, Topology) {
+    let scenario = scenario(changes);
+    let topology = Topology::of(&scenario.fleet);
+    (Plan::draw(&scenario, &topology), topology)
+}
+
+fn times(plan: &Plan, wanted: impl Fn(&Action) -> bool) -> Vec<Duration> {
+    plan.steps.iter().filter(|step| wanted(&step.action)).map(|step| step.at).collect()
+}
+
+fn silenced(plan: &Plan) -> Vec<NodeId> {
+    let nodes = plan.steps.iter().filter_map(|step| match step.action {
+        Action::Silence(node, true) => Some(node),
+        _ => None,
+    });
+    nodes.collect()
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn the_same_seed_gives_the_same_plan_and_another_one_another() {
+    let faults = "fault=[{ kind = 'machine-lost', at_s = 3, for_s = 5, count = 4 }, { kind = 'restart', at_s = 9, count = 3 }]";
+    let changes = [faults, "changes.lists_per_s=5", "control.padding_entries=10"];
+    let (plan, _) = draw(&changes);
+    assert_eq!(plan, draw(&changes).0);
+    assert_ne!(plan, draw(&[changes[0], changes[1], changes[2], "seed=6"]).0);
+    assert!(plan.steps.is_sorted_by_key(|step| step.at));
+}
+
+#[test]
+fn a_restart_is_drained_gone_stopped_and_ready_again_before_the_next_one() {
+    let (plan, _) = draw(&["fault=[{ kind = 'restart', at_s = 3, count = 2 }]"]);
+    let actions: Vec<Action> = plan.steps.iter().map(|step| step.action).collect();
+    let Action::Publish(first, _) = actions[0] else { panic!("{actions:?}") };
+    let Action::Publish(second, _) = actions[5] else { panic!("{actions:?}") };
+    assert_ne!(first, second);
+    let restart = |node| {
+        [
+            Action::Publish(node, NodeStatus::Draining),
+            Action::Publish(node, NodeStatus::Gone),
+            Action::Stop(node),
+            Action::Restart(node),
+            Action::Publish(node, NodeStatus::Ready { restarted: true }),
+        ]
+    };
+    assert_eq!(actions, [restart(first), restart(second)].concat());
+    assert_eq!(plan.steps[1].at - plan.steps[0].at, SECOND, "a second to drain");
+    assert!(plan.faults[0].ends_s >= plan.steps[9].at.as_secs_f64());
+}
+
+#[test]
+fn control_notices_a_lost_machine_late_and_lists_it_when_it_is_back() {
+    let (plan, _) = draw(&["fault=[{ kind = 'machine-lost', at_s = 3, for_s = 6, count = 5 }]"]);
+    assert_eq!(silenced(&plan).len(), 5);
+    let gone = times(&plan, |action| matches!(action, Action::Publish(_, NodeStatus::Gone)));
+    assert_eq!(gone.len(), 5);
+    assert!(gone.iter().all(|at| (4 * SECOND..7 * SECOND).contains(at)), "{gone:?}");
+    let back = times(&plan, |action| matches!(action, Action::Restart(_) | Action::Silence(_, false)));
+    assert_eq!(back, [9 * SECOND; 10]);
+    let ready =
+        times(&plan, |action| matches!(action, Action::Publish(_, NodeStatus::Ready { restarted: true })));
+    assert!(ready.len() == 5 && ready.iter().all(|at| *at > 9 * SECOND), "{ready:?}");
+}
+
+#[test]
+fn a_machine_that_does_not_come_back_is_gone_for_good() {
+    let (plan, _) = draw(&["fault=[{ kind = 'machine-lost', at_s = 3 }]"]);
+    let [Step { action: Action::Silence(node, true), .. }, Step { action, .. }] = plan.steps[..] else {
+        panic!("{plan:?}");
+    };
+    assert_eq!(action, Action::Publish(node, NodeStatus::Gone));
+    assert_eq!((plan.faults[0].at_s, plan.faults[0].ends_s), (3.0, 3.0));
+}
+
+#[test]
+fn a_lost_zone_is_all_of_it_and_a_rack_a_tenth() {
+    let (plan, topology) = draw(&["fault=[{ kind = 'zone-lost', at_s = 3, for_s = 6, place = 2 }]"]);
+    let in_zone = |node: &NodeId| topology.nodes[node.0].zone == ZoneId(2);
+    let zone: Vec<NodeId> = (0..topology.nodes.len()).map(NodeId).filter(in_zone).collect();
+    assert_eq!(silenced(&plan), zone);
+    let (plan, _) = draw(&["fault=[{ kind = 'rack-lost', at_s = 3, for_s = 6, place = 2 }]"]);
+    let rack = silenced(&plan);
+    assert_eq!(rack.len(), zone.len().div_ceil(10));
+    assert!(rack.iter().all(in_zone));
+}
+
+#[test]
+fn a_release_meets_its_share_of_each_service_within_its_time() {
+    let (plan, topology) = draw(&["fault=[{ kind = 'release', at_s = 3, for_s = 20, count = 50 }]"]);
+    for service in &topology.services {
+        let restarted =
+            times(&plan, |action| matches!(action, Action::Restart(node) if service.nodes.contains(node)));
+        assert_eq!(restarted.len(), service.nodes.len().div_ceil(2), "{}", service.name);
+    }
+    assert!(plan.steps.iter().all(|step| step.at >= 3 * SECOND && step.at <= 23 * SECOND));
+}
+
+#[test]
+fn a_cut_silences_just_the_nodes_beyond_it_until_its_end() {
+    let (plan, topology) = draw(&["fault=[{ kind = 'region-cut', at_s = 3, for_s = 6, place = 1 }]"]);
+    let beyond = silenced(&plan);
+    for service in topology.services.iter().filter(|service| service.carrier == Carrier::Real) {
+        let copy = topology.region(topology.copies[service.copies[0].0].zone);
+        for node in &service.nodes {
+            let apart = topology.region(topology.nodes[node.0].zone) != copy;
+            assert_eq!(beyond.contains(node), apart, "{}", topology.nodes[node.0].name);
+        }
+    }
+    assert_eq!(beyond.len(), 4, "half of the two balancers' eight nodes");
+    assert_eq!(times(&plan, |action| *action == Action::CutRegion(RegionId(1))), [3 * SECOND]);
+    assert_eq!(times(&plan, |action| *action == Action::RejoinRegion(RegionId(1))), [9 * SECOND]);
+    assert_eq!(times(&plan, |action| matches!(action, Action::Silence(_, false))), [9 * SECOND; 4]);
+}
+
+#[test]
+fn replicas_watches_and_balancers_have_their_faults() {
+    let (plan, _) = draw(&["fault=[{ kind = 'control-lost', at_s = 3, for_s = 6, place = 1, count = 2 }]"]);
+    for replica in [1, 2] {
+        assert_eq!(times(&plan, |action| *action == Action::StopReplica(replica)), [3 * SECOND]);
+        assert_eq!(times(&plan, |action| *action == Action::StartReplica(replica)), [9 * SECOND]);
+    }
+    assert_eq!(plan.steps.len(), 4);
+    let (plan, _) = draw(&["fault=[{ kind = 'watches-broken', at_s = 3 }]"]);
+    assert_eq!(plan.steps, [Step { at: 3 * SECOND, action: Action::BreakWatches }]);
+    let (plan, topology) = draw(&["fault=[{ kind = 'balancer-killed', at_s = 3, count = 2 }]"]);
+    assert_eq!(plan.steps.len(), 2);
+    for step in &plan.steps {
+        let Action::KillBalancer(copy) = step.action else { panic!("{step:?}") };
+        assert_eq!(topology.copies[copy.0].carrier, Carrier::Real);
+    }
+}
+
+#[test]
+fn changes_come_at_their_rate_and_settings_at_their_times() {
+    let (plan, _) =
+        draw(&["changes.lists_per_s=20", "control.padding_entries=5", "changes.settings_at_s=[2, 30]"]);
+    assert_eq!(times(&plan, |action| *action == Action::NewSettings), [2 * SECOND, 30 * SECOND]);
+    let weights = times(&plan, |action| matches!(action, Action::Weight(..))).len();
+    let padding = times(&plan, |action| matches!(action, Action::Padding(_, 0..5, _))).len();
+    // 800 in the mean with a standard deviation of 28; the seed is fixed.
+    assert!((700..900).contains(&(weights + padding)), "{weights} and {padding}");
+    assert!(padding > 300 && weights > 300, "{weights} and {padding}");
+    assert!(plan.steps.iter().all(|step| step.at < 40 * SECOND));
+    let (plan, _) = draw(&["changes.lists_per_s=20"]);
+    assert!(times(&plan, |action| matches!(action, Action::Padding(..))).is_empty());
+}
--- a/scale/tests/scenario.rs
+++ b/scale/tests/scenario.rs
@@ -78,6 +78,8 @@
         ("fault.0.for_s=8", "fault.0.for_s", "ends at 11 s, after the load's 10 s"),
         ("fault.0.count=0", "fault.0.count", "is 0, which is not from 1"),
         ("fault.0.count=19", "fault.0.count", "there are 18 nodes"),
+        ("fault.0.count=3", "fault.0.count", "ends at 10.2 s, after the load's 10 s"),
+        ("fault.0={ kind = 'release', at_s = 1, for_s = 2 }", "fault.0.for_s", "shorter than one restart"),
         ("fault.0={ kind = 'zone-lost', at_s = 1, place = 4 }", "fault.0.place", "there are 4 zones"),
         ("fault.0={ kind = 'region-cut', at_s = 1, for_s = 1, place = 2 }", "fault.0.place", "2 regions"),
         ("fault.0={ kind = 'region-cut', at_s = 1 }", "fault.0.for_s", "lasts some time"),
