--- /dev/null
+++ b/scale/src/process/settings/tests.rs
@@ -0,0 +1,130 @@
+//! Tests of the configuration text: the balancer's own reader takes or refuses it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use dahliahead::config::{Config, ConfigError};
+use dahliahead::discovery::{Endpoint, Update};
+use peathatch::interface::Effect;
+
+use super::{CLASS_EXTRA, CLASS_ORDER, CLASS_READ, configuration};
+use crate::scenario::{Scenario, SettingsChange};
+use crate::topology::{Carrier, CopyId, Topology};
+
+const SCENARIO: &str = r#"
+name = "test"
+duration_s = 1.0
+[fleet]
+services = 3
+hollow = 12
+real = 2
+regions = 2
+zones = 4
+[load]
+real_calls_per_s = 1.0
+deadline_s = 3.0
+"#;
+
+fn at(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
+fn known() -> Update {
+    let endpoint = Endpoint {
+        name: "n-00001".to_owned(),
+        address: at(9001).to_string(),
+        zone: "region-0-zone-0".to_owned(),
+        kind: "std".to_owned(),
+        group: 0,
+        status: "ready".to_owned(),
+        weight: 1.0,
+        since_ms: 0,
+    };
+    Update { index: 41, snapshot: true, endpoints: vec![endpoint] }
+}
+
+/// What the balancer makes of the text of a copy.
+fn parsed(scenario: &Scenario, copy: CopyId, change: Option<SettingsChange>) -> Result<Config, ConfigError> {
+    let topology = Topology::of(&scenario.fleet);
+    let text = configuration(scenario, &topology, copy, at(8081), at(8500), &known(), change);
+    Config::parse(&text, |_| None)
+}
+
+fn scenario() -> Scenario {
+    toml::from_str(SCENARIO).expect("a sound scenario")
+}
+
+/// A hollow copy in the second region, and the last real one.
+fn both_kinds(topology: &Topology) -> [CopyId; 2] {
+    let last = topology.copies.len() - 1;
+    assert_eq!(topology.copies[5].carrier, Carrier::Hollow);
+    assert_eq!(topology.copies[last].carrier, Carrier::Real);
+    [CopyId(5), CopyId(last)]
+}
+
+#[test]
+fn the_balancer_takes_each_copys_text() {
+    let scenario = scenario();
+    let topology = Topology::of(&scenario.fleet);
+    for id in both_kinds(&topology) {
+        let copy = &topology.copies[id.0];
+        let config = parsed(&scenario, id, None).expect("a sound configuration");
+        assert_eq!(config.name, copy.name);
+        assert_eq!((config.listen, config.discovery, config.sockets), (at(8081), at(8500), 1024));
+        assert_eq!(config.known.expect("a list in hand").endpoints[0].name, "n-00001");
+        let settings = config.loaded.settings;
+        assert_eq!(settings.index, copy.index);
+        assert_eq!(settings.copies as usize, topology.services[copy.target.0].copies.len());
+        assert_eq!((settings.zone.0, settings.zones), (copy.zone.0 as usize, 4));
+        assert_eq!((settings.allowed.streams, settings.tenants.len()), (1, 3));
+        assert_eq!(settings.rules.cold_share, scenario.node.cold_share);
+        assert_eq!(settings.prices.handshake, 0.05);
+    }
+}
+
+#[test]
+fn classes_stand_as_clients_send_them() {
+    let config = parsed(&scenario(), CopyId(0), None).expect("a sound configuration");
+    let classes = &config.loaded.names.classes;
+    let settings = &config.loaded.settings;
+    assert_eq!(settings.classes[classes[CLASS_READ]].effect, Effect::Safe);
+    assert_eq!(settings.classes[classes[CLASS_ORDER]].effect, Effect::Unsafe);
+    assert_eq!(settings.classes[0].aim, Duration::from_millis(1500));
+    assert_eq!(settings.classes[0].deadline, Duration::from_secs(3));
+    assert_eq!(config.loaded.names.load_fields, ["active", "waiting", "cpu", "avg_ms"]);
+}
+
+#[test]
+fn each_copy_has_a_seed_of_its_own() {
+    let seed = |number| parsed(&scenario(), CopyId(number), None).expect("a sound configuration").seed;
+    assert_ne!(seed(0), seed(1));
+    assert_eq!(seed(1), seed(1));
+}
+
+#[test]
+fn a_class_is_added() {
+    let scenario = scenario();
+    for id in both_kinds(&Topology::of(&scenario.fleet)) {
+        let config = parsed(&scenario, id, Some(SettingsChange::AddClass)).expect("a sound configuration");
+        assert_eq!(config.loaded.names.classes[CLASS_EXTRA], 2);
+    }
+}
+
+#[test]
+fn the_count_of_copies_is_doubled() {
+    let scenario = scenario();
+    for id in both_kinds(&Topology::of(&scenario.fleet)) {
+        let before = parsed(&scenario, id, None).expect("a sound configuration");
+        let after = parsed(&scenario, id, Some(SettingsChange::Copies)).expect("a sound configuration");
+        assert_eq!(after.loaded.settings.copies, before.loaded.settings.copies * 2);
+    }
+}
+
+#[test]
+fn a_malformed_text_is_refused() {
+    let scenario = scenario();
+    for id in both_kinds(&Topology::of(&scenario.fleet)) {
+        let refused = parsed(&scenario, id, Some(SettingsChange::Malformed));
+        assert!(matches!(refused, Err(ConfigError::Json(_))), "{refused:?}");
+    }
+}
