Run real balancer processes and sample what they use

Change: process/balancer.rs starts, reloads, kills and reaps one; procfs.rs looks at processor time, memory, descriptors and wake-ups; errors name the copy, the reason and the last lines of its log.

--- /dev/null
+++ b/scale/src/process/health.rs
@@ -0,0 +1,35 @@
+//! Asking a balancer whether it can serve.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper::header::{CONNECTION, HOST};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A balancer that has not answered for so long is not ready yet.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+
+/// Whether `GET /_health` answers 200.
+pub(super) async fn is_ready(address: SocketAddr) -> bool {
+    matches!(timeout(ANSWER_WITHIN, status(address)).await, Ok(Some(StatusCode::OK)))
+}
+
+async fn status(address: SocketAddr) -> Option<StatusCode> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let request = Request::get("/_health")
+        .header(HOST, address.to_string())
+        .header(CONNECTION, "close")
+        .body(Empty::<Bytes>::new())
+        .ok()?;
+    // Ends along with the sender, or with the balancer's end of the connection.
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok()?;
+    Some(response.status())
+}
--- /dev/null
+++ b/scale/src/process/log.rs
@@ -0,0 +1,28 @@
+//! The last lines of a process's log.
+
+use std::fs::File;
+use std::io::{Read, Seek, SeekFrom};
+use std::path::Path;
+
+/// Lines that an error shows.
+const LINES: usize = 5;
+/// Bytes at the end of the log in which they are looked for.
+const TAIL_BYTES: u64 = 4096;
+
+/// The last lines of a log, each indented; empty if it has none or cannot be read.
+pub(super) fn last_lines(path: &Path) -> String {
+    let text = tail(path).unwrap_or_default();
+    let text = String::from_utf8_lossy(&text);
+    let lines: Vec<&str> = text.lines().collect();
+    let from = lines.len().saturating_sub(LINES);
+    lines[from..].iter().map(|line| format!("    {line}")).collect::<Vec<_>>().join("\n")
+}
+
+fn tail(path: &Path) -> std::io::Result<Vec<u8>> {
+    let mut file = File::open(path)?;
+    let length = file.metadata()?.len();
+    file.seek(SeekFrom::Start(length.saturating_sub(TAIL_BYTES)))?;
+    let mut text = Vec::new();
+    file.read_to_end(&mut text)?;
+    Ok(text)
+}
--- a/scale/src/process/mod.rs
+++ b/scale/src/process/mod.rs
@@ -1,5 +1,15 @@
 //! Real balancer processes, what is measured of them, and the configuration of any copy.
 
+pub mod balancer;
+pub mod error;
+mod health;
+mod log;
+pub mod procfs;
+pub mod program;
 pub mod settings;
 
+pub use balancer::BalancerProcess;
+pub use error::ProcessError;
+pub use procfs::Sampler;
+pub use program::find_program;
 pub use settings::configuration;
