--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod cli;
 pub mod faults;
+pub mod fit;
+pub mod interrupt;
 pub mod plan;
+pub mod process;
 pub mod record;
 pub mod report;
 pub mod scenario;
