--- /dev/null
+++ b/scale/src/node/mod.rs
@@ -0,0 +1,3 @@
+//! The stand-in nodes that balancers send to.
+
+pub mod model;
