Hold the model's times to what they can tell apart without a manual clamp

Cause: clippy reads max and min as a clamp, which would let a value that is no number through to a panic. Change: the conversion that reports what it cannot convert.

--- a/scale/src/node/model/warmth.rs
+++ b/scale/src/node/model/warmth.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// A time of so many seconds, held to what the model tells apart.
+/// A time of so many seconds, at most the longest that the model tells apart; none where they are negative.
 pub(super) fn duration(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds.max(0.0).min(LONGEST_S))
+    Duration::try_from_secs_f64(seconds.min(LONGEST_S)).unwrap_or_default()
 }
