--- /dev/null
+++ b/scale/src/control/http/tests.rs
@@ -0,0 +1,57 @@
+//! The text of requests and answers, and peers that do not read.
+
+use tokio::io::duplex;
+
+use super::*;
+
+async fn read(text: &[u8]) -> Result<Call, HttpError> {
+    Requests::default().next(&mut &*text).await
+}
+
+#[tokio::test]
+async fn calls_are_told_apart_by_method_path_and_query() {
+    let calls: [(&str, Call); 6] = [
+        ("GET /catalog/members HTTP/1.1\r\n\r\n", Call::List),
+        ("GET /catalog/members?follow=0 HTTP/1.1\r\n\r\n", Call::List),
+        ("GET /catalog/members?follow=1 HTTP/1.1\r\n\r\n", Call::Watch { since: 0 }),
+        ("GET /catalog/members?since=41&follow=1 HTTP/1.1\r\nHost: c\r\n\r\n", Call::Watch { since: 41 }),
+        ("POST /catalog/members HTTP/1.1\r\n\r\n", Call::Unknown),
+        ("GET /catalog HTTP/1.1\r\n\r\n", Call::Unknown),
+    ];
+    for (text, call) in calls {
+        assert_eq!(read(text.as_bytes()).await.unwrap(), call, "{text}");
+    }
+}
+
+#[tokio::test]
+async fn requests_come_in_pieces_or_several_at_once() {
+    let (mut ours, mut theirs) = duplex(1);
+    let text = b"GET /catalog/members HTTP/1.1\r\n\r\nGET /catalog/members?follow=1&since=7 HTTP/1.1\r\n\r\n";
+    let sent = tokio::spawn(async move { ours.write_all(text).await });
+    let mut requests = Requests::default();
+    assert_eq!(requests.next(&mut theirs).await.unwrap(), Call::List);
+    assert_eq!(requests.next(&mut theirs).await.unwrap(), Call::Watch { since: 7 });
+    sent.await.unwrap().unwrap();
+    assert!(matches!(requests.next(&mut theirs).await, Err(HttpError::Ended(_))));
+}
+
+#[tokio::test]
+async fn a_request_without_sense_or_end_is_malformed() {
+    let endless = [b'x'; 2 * HEAD_MOST];
+    for text in [
+        &b"\r\n\r\n"[..],
+        b"\xff\r\n\r\n",
+        b"GET /catalog/members?follow=1&since=x HTTP/1.1\r\n\r\n",
+        &endless,
+    ] {
+        assert!(matches!(read(text).await, Err(HttpError::Malformed)));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_does_not_read_is_given_up_and_what_it_took_is_counted() {
+    let (mut ours, _theirs) = duplex(64);
+    let written = AtomicU64::new(0);
+    assert!(matches!(write(&mut ours, &[0; 100], &written).await, Err(HttpError::Slow)));
+    assert_eq!(written.into_inner(), 64);
+}
