--- /dev/null
+++ b/scale/src/node/request/tests.rs
@@ -0,0 +1,39 @@
+//! Heads of requests.
+
+use hyper::Request;
+
+use super::*;
+
+fn read(path: &str, headers: &[(&str, &str)]) -> Result<NodeRequest, RequestError> {
+    let mut request = Request::get(path);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    NodeRequest::read(&request.body(()).unwrap().into_parts().0)
+}
+
+#[test]
+fn a_request_is_read_with_all_its_parts() {
+    let headers = [("x-request-id", "a1"), ("x-tenant", "tenant-0"), ("x-deadline", "0.480")];
+    let request = read("/order?hops=26&hop=2", &headers).unwrap();
+    assert_eq!((request.id.as_str(), request.class, request.hops, request.hop), ("a1", Class::Order, 26, 2));
+    assert_eq!(request.tenant.unwrap(), "tenant-0");
+    assert_eq!(request.deadline, Some(Duration::from_millis(480)));
+    let plain = read("/read", &[("x-request-id", "a2")]).unwrap();
+    assert_eq!((plain.class, plain.hops, plain.hop, plain.deadline), (Class::Read, 1, 1, None));
+}
+
+#[test]
+fn a_request_without_an_id_or_sense_is_told_apart() {
+    assert_eq!(read("/read?hops=1&hop=1", &[]).unwrap_err(), RequestError::NoId);
+    let id = ("x-request-id", "a1");
+    for path in ["/read?hops=x", "/read?hops=-1", "/read?hop=99999999999"] {
+        assert_eq!(read(path, &[id]).unwrap_err(), RequestError::Malformed, "{path}");
+    }
+    for deadline in ["soon", "inf", "1e300"] {
+        let read = read("/read", &[id, ("x-deadline", deadline)]);
+        assert_eq!(read.unwrap_err(), RequestError::Malformed, "{deadline}");
+    }
+    let over = read("/read", &[id, ("x-deadline", "-0.5")]).unwrap();
+    assert_eq!(over.deadline, Some(Duration::ZERO));
+}
