--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -4,10 +4,13 @@
 //! clients) stand beside stand-in nodes and a stand-in control plane. Everything is on loopback.
 
 pub mod cli;
+pub mod control;
 pub mod faults;
 pub mod fit;
 pub mod interrupt;
+pub mod node;
 pub mod plan;
+pub mod port;
 pub mod process;
 pub mod record;
 pub mod report;
