Make the calls of clients in an open loop over HTTP

Cause: the fleet model needs load whose arrivals do not wait for answers, and an honest end for each call. How late the client was, what it never sent and what it sent once more stand in the record. Result: tests against a scripted server hold each ending, the open loop and an end for every call.

--- /dev/null
+++ b/scale/src/client/tests.rs
@@ -0,0 +1,265 @@
+//! Tests of clients against a scripted server on loopback.
+
+mod open_loop;
+mod server;
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+
+use super::caller::{Caller, Limits, Route};
+use super::{Arrival, Class};
+use crate::record::{Call, CallEnd, Record};
+use crate::scenario::Scenario;
+use server::{Reply, Server, answer, answer_with};
+
+/// Longer than anything takes that works.
+const LONG: Duration = Duration::from_secs(30);
+/// Time limits that nothing meets.
+const LIMITS: Limits = Limits { deadline: LONG, grace: LONG, crossing: LONG };
+
+fn scenario() -> Scenario {
+    let text = "name = 'test'\nduration_s = 0.5\n[fleet]\nservices = 0\nhollow = 0\nreal = 1\n\
+                [load]\nreal_calls_per_s = 100.0\ndeadline_s = 30.0\n";
+    toml::from_str(text).expect("a sound scenario")
+}
+
+/// Clients of one server, and what is recorded of them.
+struct Clients {
+    caller: Caller,
+    record: Arc<Record>,
+}
+
+impl Clients {
+    fn new(address: SocketAddr, limits: Limits, retries: u32) -> Self {
+        Self::of(Route::Balancers, address, limits, retries)
+    }
+
+    fn of(route: Route, address: SocketAddr, limits: Limits, retries: u32) -> Self {
+        let mut load = scenario().load;
+        load.client_retries = retries;
+        let record = Arc::<Record>::default();
+        let caller = Caller::new(route, &load, limits, &[address], Arc::clone(&record));
+        Self { caller, record }
+    }
+
+    /// Makes a call now, and tells how it ended.
+    async fn call(&self, arrival: Arrival) -> Call {
+        self.caller.call(arrival, Instant::now()).await;
+        let measured = self.record.measured();
+        *measured.calls.last().expect("a call that was made is recorded")
+    }
+
+    async fn end(&self) -> CallEnd {
+        self.call(ARRIVAL).await.end
+    }
+}
+
+const ARRIVAL: Arrival = Arrival {
+    at: Duration::ZERO,
+    hops: 3,
+    class: Class::Read,
+    tenant: 2,
+    target: 0,
+    leaves_after: None,
+    id: 0x1f,
+};
+
+/// An address where nothing listens, and what holds its port.
+fn dead_address() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a free port");
+    let address = socket.local_addr().ok().and_then(|address| address.as_socket()).expect("bound");
+    (socket, address)
+}
+
+/// Clients of a server whose first request on each connection is answered, and each later one as scripted.
+async fn after_first(limits: Limits, reply: impl Fn() -> Reply + Send + Sync + 'static) -> (Server, Clients) {
+    let server = Server::start(move |request| if request.number == 0 { answer("200 OK") } else { reply() });
+    let clients = Clients::new(server.address, limits, 0);
+    assert_eq!(clients.end().await, CallEnd::Served);
+    (server, clients)
+}
+
+#[tokio::test]
+async fn a_request_has_the_form_of_the_protocol() {
+    let server = Server::start(|_| answer("200 OK"));
+    let clients = Clients::new(server.address, LIMITS, 0);
+    let call = clients.call(ARRIVAL).await;
+    assert_eq!((call.end, call.hops), (CallEnd::Served, 3));
+    clients.call(Arrival { class: Class::Order, ..ARRIVAL }).await;
+    let seen = server.seen();
+    assert!(seen.iter().all(|request| request.connection == 0), "the connection is kept");
+    assert_eq!(seen[0].line, "GET /read?hops=3&hop=1");
+    assert_eq!(seen[1].line, "POST /order?hops=3&hop=1");
+    assert_eq!(
+        (seen[0].header("x-request-id"), seen[0].header("x-tenant")),
+        ("000000000000001f", "tenant-2")
+    );
+    assert_eq!(seen[0].header("host"), server.address.to_string());
+    let told: f64 = seen[0].header("x-deadline").parse().expect("seconds");
+    assert!(told > 0.0 && told <= LONG.as_secs_f64(), "{told}");
+    let measured = clients.record.measured();
+    assert_eq!(measured.hop_calls[0][&1], 2);
+    assert_eq!((measured.by_hops_us[&3].count(), measured.client_lag_us.count()), (2, 2));
+}
+
+#[tokio::test]
+async fn other_answers_fail_and_so_does_a_refused_connection() {
+    let (_held, address) = dead_address();
+    assert_eq!(Clients::new(address, LIMITS, 0).end().await, CallEnd::Failed);
+    for status in ["500 Internal Server Error", "400 Bad Request", "201 Created"] {
+        let server = Server::start(move |_| answer(status));
+        assert_eq!(Clients::new(server.address, LIMITS, 0).end().await, CallEnd::Failed, "{status}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_breaks_off_or_is_none_fails() {
+    for bytes in ["HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "good morning\r\n\r\n"] {
+        let (_server, clients) =
+            after_first(LIMITS, move || Reply::Close(Duration::ZERO, bytes.to_owned())).await;
+        assert_eq!(clients.end().await, CallEnd::Failed, "{bytes}");
+    }
+}
+
+#[tokio::test]
+async fn a_late_answer_fails() {
+    let limits = Limits { deadline: Duration::from_millis(200), ..LIMITS };
+    let wait = Duration::from_millis(300);
+    let server = Server::start(move |_| Reply::Later(wait, answer_with("200 OK", "")));
+    assert_eq!(Clients::new(server.address, limits, 0).end().await, CallEnd::Failed);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_answer_at_all_is_lost_when_the_grace_is_over() {
+    let (deadline, grace) = (Duration::from_secs(1), Duration::from_millis(200));
+    let server = Server::start(|_| Reply::Silence);
+    let call = Clients::new(server.address, Limits { deadline, grace, ..LIMITS }, 0).call(ARRIVAL).await;
+    assert_eq!(call.end, CallEnd::Lost);
+    assert!(call.took >= deadline + grace, "{call:?}");
+    assert_eq!(server.closed(), 0);
+}
+
+#[tokio::test]
+async fn a_first_request_whose_connection_is_closed_fails_and_is_not_sent_again() {
+    let server = Server::start(|_| Reply::Close(Duration::ZERO, String::new()));
+    let clients = Clients::new(server.address, LIMITS, 0);
+    assert_eq!(clients.end().await, CallEnd::Failed);
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn a_request_that_a_close_crossed_is_sent_once_more_and_not_again() {
+    for end in [CallEnd::Served, CallEnd::Failed] {
+        let server = Server::start(move |request| match (request.connection, request.number) {
+            (0, 0) => answer("200 OK"),
+            (1, 0) if end == CallEnd::Served => answer("200 OK"),
+            _ => Reply::Close(Duration::ZERO, String::new()),
+        });
+        let clients = Clients::new(server.address, LIMITS, 0);
+        assert_eq!(clients.end().await, CallEnd::Served);
+        assert_eq!(clients.end().await, end);
+        let seen = server.seen();
+        assert!(seen.iter().map(|request| (request.connection, request.number)).eq([(0, 0), (0, 1), (1, 0)]));
+        assert_eq!(seen[1].header("x-request-id"), seen[2].header("x-request-id"));
+        assert_eq!(clients.record.measured().client_resent, 1);
+        assert_eq!(clients.record.measured().hop_calls[0][&1], 2);
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_was_read_and_never_answered_is_lost() {
+    let limits = Limits { crossing: Duration::from_millis(50), ..LIMITS };
+    let wait = Duration::from_millis(100);
+    let (server, clients) = after_first(limits, move || Reply::Close(wait, String::new())).await;
+    assert_eq!(clients.end().await, CallEnd::Lost);
+    assert_eq!(server.seen().len(), 2);
+}
+
+#[tokio::test]
+async fn a_close_by_a_server_that_is_gone_fails() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let gone = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a client");
+        let mut bytes = [0; 1024];
+        let _ = std::io::Read::read(&mut stream, &mut bytes);
+        let _ = std::io::Write::write_all(&mut stream, answer_with("200 OK", "").as_bytes());
+        let _ = std::io::Read::read(&mut stream, &mut bytes);
+        std::thread::sleep(Duration::from_millis(100));
+        drop(listener);
+    });
+    let clients = Clients::new(address, Limits { crossing: Duration::from_millis(50), ..LIMITS }, 0);
+    assert_eq!(clients.end().await, CallEnd::Served);
+    assert_eq!(clients.end().await, CallEnd::Failed);
+    gone.join().expect("no panic");
+}
+
+#[tokio::test]
+async fn a_connection_that_was_closed_while_idle_is_not_used() {
+    let server = Server::start(|request| {
+        if request.connection == 0 {
+            Reply::Close(Duration::ZERO, answer_with("200 OK", "Connection: close\r\n"))
+        } else {
+            answer("200 OK")
+        }
+    });
+    let clients = Clients::new(server.address, LIMITS, 0);
+    assert_eq!(clients.end().await, CallEnd::Served);
+    assert_eq!(clients.end().await, CallEnd::Served);
+    assert_eq!(clients.record.measured().client_resent, 0);
+}
+
+#[tokio::test]
+async fn refusals_are_repeated_with_a_fresh_id_after_retry_after() {
+    for status in ["429 Too Many Requests", "503 Service Unavailable"] {
+        let refusal = answer_with(status, "Retry-After: 0.2\r\n");
+        let server = Server::start(move |request| match request.number {
+            0 => Reply::Write(refusal.clone()),
+            _ => answer("200 OK"),
+        });
+        let clients = Clients::new(server.address, LIMITS, 2);
+        assert_eq!(clients.end().await, CallEnd::Served);
+        let seen = server.seen();
+        assert!(seen[1].at - seen[0].at >= Duration::from_millis(200));
+        assert_ne!(seen[0].header("x-request-id"), seen[1].header("x-request-id"));
+        assert_eq!(clients.record.measured().hop_calls[0][&1], 2);
+    }
+}
+
+#[tokio::test]
+async fn a_call_that_is_refused_each_time_ends_after_its_repeats() {
+    let server = Server::start(|_| answer("503 Service Unavailable"));
+    assert_eq!(Clients::new(server.address, LIMITS, 2).end().await, CallEnd::Refused);
+    assert_eq!(server.seen().len(), 3);
+}
+
+#[tokio::test]
+async fn no_repeat_begins_after_the_deadline() {
+    let server = Server::start(|_| Reply::Write(answer_with("503 No", "Retry-After: 9\r\n")));
+    let limits = Limits { deadline: Duration::from_millis(1400), ..LIMITS };
+    assert_eq!(Clients::new(server.address, limits, 2).end().await, CallEnd::Refused);
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_client_that_leaves_closes_its_connection() {
+    let server = Server::start(|_| Reply::Silence);
+    let arrival = Arrival { leaves_after: Some(Duration::from_millis(500)), ..ARRIVAL };
+    assert_eq!(Clients::new(server.address, LIMITS, 0).call(arrival).await.end, CallEnd::Left);
+    assert_eq!(server.closed(), 0);
+}
+
+#[tokio::test]
+async fn straight_calls_count_by_their_times_alone() {
+    let server = Server::start(|_| answer("200 OK"));
+    let clients = Clients::of(Route::Nodes, server.address, LIMITS, 0);
+    clients.caller.call(ARRIVAL, Instant::now()).await;
+    assert_eq!(server.seen()[0].line, "GET /read?hops=3&hop=0");
+    let measured = clients.record.measured();
+    assert_eq!(measured.direct_us.count(), 1);
+    assert!(measured.calls.is_empty() && measured.hop_calls[0].is_empty());
+}
--- /dev/null
+++ b/scale/src/client/tests/open_loop.rs
@@ -0,0 +1,85 @@
+//! Tests of whole loads: open loop, overload, an end for each call.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use super::server::{Reply, Server, answer, answer_with};
+use super::{Clients, LIMITS, LONG, dead_address, scenario};
+use crate::client::caller::Limits;
+use crate::client::dispatch::make_calls;
+use crate::client::{Arrivals, run_real};
+use crate::record::{CallEnd, Record};
+use crate::topology::Topology;
+
+/// A server that answers nobody before so many requests are there at once.
+fn gathering(count: usize) -> Server {
+    let gathered = Arc::new((Mutex::new(0), Condvar::new()));
+    Server::start(move |_| {
+        let (there, changed) = &*gathered;
+        let mut there = there.lock().expect("no panic");
+        *there += 1;
+        changed.notify_all();
+        let waited = changed.wait_timeout_while(there, LONG, |there| *there < count);
+        if waited.expect("no panic").1.timed_out() { Reply::Silence } else { answer("200 OK") }
+    })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_server_does_not_slow_arrivals() {
+    let scenario = scenario();
+    let count = Arrivals::through_balancers(&scenario, 1).count();
+    assert!(count > 20, "{count}");
+    // Only an open loop has them all out at once.
+    let server = gathering(count);
+    let record = Arc::<Record>::default();
+    let topology = Topology::of(&scenario.fleet);
+    let start = Instant::now();
+    run_real(&scenario, &topology, vec![server.address], Vec::new(), start, Arc::clone(&record)).await;
+    let measured = record.measured();
+    assert_eq!(measured.calls.len(), count);
+    assert!(measured.calls.iter().all(|call| call.end == CallEnd::Served));
+    assert_eq!((measured.client_lag_us.count(), measured.client_unsent), (count as u64, 0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_call_is_left_without_an_end() {
+    let mut scenario = scenario();
+    scenario.load.deadline_s = 0.2;
+    scenario.load.leaving_share = 0.2;
+    scenario.load.client_retries = 1;
+    scenario.load.direct_calls_per_s = 100.0;
+    scenario.load.unsafe_share = 0.3;
+    let replies = AtomicUsize::new(0);
+    let server = Server::start(move |_| match replies.fetch_add(1, Ordering::Relaxed) % 6 {
+        0 => Reply::Silence,
+        1 => Reply::Close(Duration::ZERO, String::new()),
+        2 => answer("503 Service Unavailable"),
+        3 => answer("500 Internal Server Error"),
+        4 => Reply::Later(Duration::from_millis(30), answer_with("200 OK", "Connection: close\r\n")),
+        _ => answer("200 OK"),
+    });
+    let (record, topology) = (Arc::<Record>::default(), Topology::of(&scenario.fleet));
+    let (_held, dead) = dead_address();
+    let targets = [server.address, dead];
+    let start = Instant::now();
+    run_real(&scenario, &topology, targets.to_vec(), targets.to_vec(), start, Arc::clone(&record)).await;
+    let drawn = Arrivals::through_balancers(&scenario, 2).count();
+    assert_eq!(record.measured().calls.len(), drawn);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_overloaded_client_counts_what_it_does_not_send() {
+    const MOST: usize = 5;
+    let scenario = scenario();
+    let server = Server::start(|_| Reply::Silence);
+    let limits = Limits { deadline: Duration::from_secs(5), grace: Duration::ZERO, ..LIMITS };
+    let clients = Clients::new(server.address, limits, 0);
+    let arrivals = Arrivals::through_balancers(&scenario, 1);
+    let drawn = arrivals.clone().count();
+    make_calls(arrivals, Arc::new(clients.caller), Instant::now(), MOST).await;
+    let measured = clients.record.measured();
+    let ended = |end| measured.calls.iter().filter(|call| call.end == end).count();
+    assert_eq!((ended(CallEnd::Lost), ended(CallEnd::Failed)), (MOST, drawn - MOST));
+    assert_eq!(measured.client_unsent as usize, drawn - MOST);
+}
--- /dev/null
+++ b/scale/src/client/tests/server.rs
@@ -0,0 +1,143 @@
+//! A server on loopback that does with each request what the test says.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{self, Receiver};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A request as it came.
+#[derive(Debug, Clone)]
+pub(super) struct Seen {
+    /// Number of its connection, from 0.
+    pub(super) connection: usize,
+    /// Number of the request on it, from 0.
+    pub(super) number: usize,
+    /// Method and path.
+    pub(super) line: String,
+    pub(super) headers: Vec<(String, String)>,
+    pub(super) at: Instant,
+}
+
+impl Seen {
+    pub(super) fn header(&self, name: &str) -> &str {
+        let header = self.headers.iter().find(|(header, _)| header == name);
+        header.map_or("", |(_, value)| value)
+    }
+}
+
+/// What the server does with a request.
+pub(super) enum Reply {
+    /// Writes these bytes and goes on.
+    Write(String),
+    /// Writes these bytes after this time and goes on.
+    Later(Duration, String),
+    /// Closes after this time, having written these bytes.
+    Close(Duration, String),
+    /// Says nothing until the client closes.
+    Silence,
+}
+
+pub(super) fn answer(status: &str) -> Reply {
+    Reply::Write(answer_with(status, ""))
+}
+
+pub(super) fn answer_with(status: &str, headers: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 2\r\n\r\nok")
+}
+
+pub(super) struct Server {
+    pub(super) address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    /// The connections that a client has closed, by number.
+    closed: Receiver<usize>,
+}
+
+impl Server {
+    pub(super) fn start(script: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let (shared, script) = (Arc::clone(&seen), Arc::new(script));
+        let (close, closed) = mpsc::channel();
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                let (seen, script, close) = (Arc::clone(&shared), Arc::clone(&script), close.clone());
+                thread::spawn(move || {
+                    if serve(stream, number, &seen, &*script) {
+                        let _ = close.send(number);
+                    }
+                });
+            }
+        });
+        Self { address, seen, closed }
+    }
+
+    pub(super) fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().expect("no panic").clone()
+    }
+
+    /// The next connection that a client closes.
+    pub(super) fn closed(&self) -> usize {
+        self.closed.recv_timeout(super::LONG).expect("the client closes")
+    }
+}
+
+/// Serves a connection; whether it was the client that ended it.
+fn serve(
+    stream: TcpStream,
+    connection: usize,
+    seen: &Mutex<Vec<Seen>>,
+    script: &(dyn Fn(&Seen) -> Reply + Send + Sync),
+) -> bool {
+    let mut reader = BufReader::new(stream.try_clone().expect("open"));
+    let mut writer = stream;
+    let mut number = 0;
+    while let Some(request) = read(&mut reader, connection, number) {
+        number += 1;
+        seen.lock().expect("no panic").push(request.clone());
+        match script(&request) {
+            Reply::Write(bytes) => {
+                let _ = writer.write_all(bytes.as_bytes());
+            }
+            Reply::Later(wait, bytes) => {
+                thread::sleep(wait);
+                let _ = writer.write_all(bytes.as_bytes());
+            }
+            Reply::Close(wait, bytes) => {
+                thread::sleep(wait);
+                let _ = writer.write_all(bytes.as_bytes());
+                return false;
+            }
+            Reply::Silence => {}
+        }
+    }
+    true
+}
+
+fn read(reader: &mut BufReader<TcpStream>, connection: usize, number: usize) -> Option<Seen> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        lines.push(line.to_owned());
+    }
+    let headers: Vec<(String, String)> = lines[1..]
+        .iter()
+        .filter_map(|line| line.split_once(": "))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        .collect();
+    let length = headers.iter().find(|(name, _)| name == "content-length");
+    let length = length.map_or(0, |(_, value)| value.parse().expect("a length"));
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    let line = lines[0].trim_end_matches(" HTTP/1.1").to_owned();
+    Some(Seen { connection, number, line, headers, at: Instant::now() })
+}
--- a/scale/src/process/balancer/tests.rs
+++ b/scale/src/process/balancer/tests.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use dahliahead::discovery::{Endpoint, Update};
 use tempfile::TempDir;
 
 use super::{BalancerProcess, ProcessError};
+use crate::process::settings::tests::known;
 use crate::process::{configuration, find_program};
 use crate::scenario::{Scenario, SettingsChange};
 use crate::topology::{CopyId, Topology};
@@ -48,19 +48,8 @@
 fn text(control: &TcpListener, listen: SocketAddr, change: Option<SettingsChange>) -> String {
     let scenario: Scenario = toml::from_str(SCENARIO).expect("a sound scenario");
     let topology = Topology::of(&scenario.fleet);
-    let endpoint = Endpoint {
-        name: "s-000-000".to_owned(),
-        address: "127.0.0.1:9".to_owned(),
-        zone: "region-0-zone-0".to_owned(),
-        kind: "std".to_owned(),
-        group: 0,
-        status: "ready".to_owned(),
-        weight: 1.0,
-        since_ms: 0,
-    };
-    let known = Update { index: 1, snapshot: true, endpoints: vec![endpoint] };
     let control = control.local_addr().expect("bound");
-    configuration(&scenario, &topology, CopyId(0), listen, control, &known, change)
+    configuration(&scenario, &topology, CopyId(0), listen, control, &known(), change)
 }
 
 async fn started(directory: &TempDir, control: &TcpListener) -> BalancerProcess {
--- a/scale/src/process/procfs.rs
+++ b/scale/src/process/procfs.rs
@@ -1,5 +1,6 @@
 //! What a process uses, from `/proc`: processor time, memory, descriptors and wake-ups.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use procfs::process::Process;
@@ -24,7 +25,8 @@
     /// Start of the process in clock ticks since boot: its id may come to belong to another one.
     started: u64,
     processor: Duration,
-    switches: u64,
+    /// Voluntary context switches of each thread that runs, by its id.
+    switches: BTreeMap<i32, u64>,
 }
 
 impl Sampler {
@@ -64,29 +66,34 @@
     Ok(Counts { at: Instant::now(), started: stat.starttime, processor, switches: switches(process)? })
 }
 
-/// Voluntary context switches of all threads that run now.
-fn switches(process: &Process) -> ProcResult<u64> {
-    let mut switches = 0;
-    for task in process.tasks()? {
-        // A thread may end between the listing and the look.
-        let status = task.and_then(|task| task.status());
-        switches += status.ok().and_then(|status| status.voluntary_ctxt_switches).unwrap_or(0);
+fn switches(process: &Process) -> ProcResult<BTreeMap<i32, u64>> {
+    let mut switches = BTreeMap::new();
+    // A thread may end between the listing and the look.
+    for task in process.tasks()?.flatten() {
+        let count = task.status().ok().and_then(|status| status.voluntary_ctxt_switches);
+        switches.insert(task.tid, count.unwrap_or(0));
     }
     Ok(switches)
 }
 
+/// Switches since the look before of the threads that run now; the last ones of a thread that has ended are not
+/// known.
+fn switches_since(before: &Counts, now: &Counts) -> u64 {
+    let earlier = |thread| before.switches.get(thread).copied().unwrap_or(0);
+    now.switches.iter().map(|(thread, count)| count.saturating_sub(earlier(thread))).sum()
+}
+
 fn usage(process: &Process, before: &Counts, now: &Counts) -> Option<ProcessUsage> {
     let seconds = now.at.duration_since(before.at).as_secs_f64();
     if now.started != before.started || seconds == 0.0 {
         return None;
     }
     let processor = now.processor.saturating_sub(before.processor);
-    let switches = now.switches.saturating_sub(before.switches);
     Some(ProcessUsage {
         core_percent: processor.as_secs_f64() / seconds * 100.0,
         memory_mb: process.status().ok()?.vmrss? as f64 / KB_PER_MB,
         descriptors: process.fd_count().ok()? as u64,
-        wakeups_per_s: switches as f64 / seconds,
+        wakeups_per_s: switches_since(before, now) as f64 / seconds,
     })
 }
 
--- a/scale/src/process/settings.rs
+++ b/scale/src/process/settings.rs
@@ -34,7 +34,7 @@
 /// Seconds that a connection may take to come up.
 const CONNECT_S: f64 = 0.25;
 /// Longest advice to stay away that clients follow, in seconds.
-const RETRY_AFTER_MOST_S: f64 = 1.5;
+pub const RETRY_AFTER_MOST_S: f64 = 1.5;
 /// Seconds after the deadline in which a final answer still counts.
 const ANSWER_SLACK_S: f64 = 0.02;
 /// Seconds in which sends to a draining node have to end.
@@ -278,4 +278,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/scale/src/process/settings/tests.rs
+++ b/scale/src/process/settings/tests.rs
@@ -29,7 +29,8 @@
     (Ipv4Addr::LOCALHOST, port).into()
 }
 
-fn known() -> Update {
+/// A list of one node.
+pub(in crate::process) fn known() -> Update {
     let endpoint = Endpoint {
         name: "n-00001".to_owned(),
         address: at(9001).to_string(),
@@ -102,29 +103,16 @@
 }
 
 #[test]
-fn a_class_is_added() {
+fn each_change_says_what_it_changes() {
     let scenario = scenario();
     for id in both_kinds(&Topology::of(&scenario.fleet)) {
-        let config = parsed(&scenario, id, Some(SettingsChange::AddClass)).expect("a sound configuration");
-        assert_eq!(config.loaded.names.classes[CLASS_EXTRA], 2);
-    }
-}
-
-#[test]
-fn the_count_of_copies_is_doubled() {
-    let scenario = scenario();
-    for id in both_kinds(&Topology::of(&scenario.fleet)) {
-        let before = parsed(&scenario, id, None).expect("a sound configuration");
-        let after = parsed(&scenario, id, Some(SettingsChange::Copies)).expect("a sound configuration");
-        assert_eq!(after.loaded.settings.copies, before.loaded.settings.copies * 2);
-    }
-}
-
-#[test]
-fn a_malformed_text_is_refused() {
-    let scenario = scenario();
-    for id in both_kinds(&Topology::of(&scenario.fleet)) {
-        let refused = parsed(&scenario, id, Some(SettingsChange::Malformed));
+        let changed = |change| parsed(&scenario, id, Some(change));
+        let before = parsed(&scenario, id, None).expect("a sound configuration").loaded;
+        let added = changed(SettingsChange::AddClass).expect("a sound configuration").loaded;
+        assert_eq!(added.names.classes[CLASS_EXTRA], before.settings.classes.len());
+        let doubled = changed(SettingsChange::Copies).expect("a sound configuration").loaded;
+        assert_eq!(doubled.settings.copies, before.settings.copies * 2);
+        let refused = changed(SettingsChange::Malformed);
         assert!(matches!(refused, Err(ConfigError::Json(_))), "{refused:?}");
     }
 }
--- a/scale/src/record.rs
+++ b/scale/src/record.rs
@@ -72,6 +72,12 @@
 pub struct Measured {
     /// Calls by how they ended.
     pub calls: Vec<Call>,
+    /// From the drawn arrival of a call to when the client took it up, in microseconds.
+    pub client_lag_us: Times,
+    /// Calls that the client never sent because too many were out; they count as failed.
+    pub client_unsent: u64,
+    /// Requests sent once more because their connection was closed before they were read.
+    pub client_resent: u64,
     /// Served calls of one hop through a real balancer, in microseconds.
     pub one_hop_us: Times,
     /// The same calls sent straight to a node, in microseconds.
