--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -4,6 +4,7 @@
 //! clients) stand beside stand-in nodes and a stand-in control plane. Everything is on loopback.
 
 pub mod cli;
+pub mod client;
 pub mod control;
 pub mod faults;
 pub mod fit;
