Test that a call crossing a close is sent again only where that is harmless

Cause: with the repeat taken out no test failed, and a call beyond the queue hung instead of failing. Change: a balancer that closes a resting connection under a read and under an order; a bound of a minute on the call that must be turned away. Result: both fail without what they guard.

--- a/scale/tests/control.rs
+++ b/scale/tests/control.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dahliahead::discovery::{Endpoint, Update};
 use stilelead_scale::control::ControlPlane;
@@ -10,6 +11,7 @@
 use stilelead_scale::topology::{CopyId, RegionId, ServiceId, Topology};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 const SERVICE: ServiceId = ServiceId(0);
 /// With three replicas and two regions: in region 0, as its replica is.
@@ -250,7 +252,8 @@
             tokio::task::yield_now().await;
         }
     }
-    let refused = call(&control, OTHER, "").await.unwrap();
+    // Answered in its turn it would be hours later.
+    let refused = timeout(Duration::from_secs(60), call(&control, OTHER, "")).await.unwrap().unwrap();
     assert_eq!(refused.status, 503);
     assert_eq!((control.usage(OTHER).turned_away, control.usage(HOME).turned_away), (1, 0));
 }
--- a/scale/tests/nodes.rs
+++ b/scale/tests/nodes.rs
@@ -141,17 +141,22 @@
     assert_eq!(attempts(&record), 2);
 }
 
-/// Reads the head of a request and answers it; its lines are lower case, the first one first.
-async fn balance(stream: &mut BufReader<TcpStream>, status: &str) -> Vec<String> {
+/// Reads the head of a request; its lines are lower case, the first one first.
+async fn head(stream: &mut BufReader<TcpStream>) -> Vec<String> {
     let mut lines = Vec::new();
     loop {
         let mut line = String::new();
         stream.read_line(&mut line).await.unwrap();
         match line.trim_end() {
-            "" => break,
+            "" => return lines,
             text => lines.push(text.to_lowercase()),
         }
     }
+}
+
+/// Reads the head of a request and answers it.
+async fn balance(stream: &mut BufReader<TcpStream>, status: &str) -> Vec<String> {
+    let lines = head(stream).await;
     let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
     stream.get_mut().write_all(answer.as_bytes()).await.unwrap();
     lines
@@ -193,6 +198,38 @@
     assert_eq!(ids.len(), 4);
 }
 
+#[tokio::test]
+async fn a_call_whose_resting_connection_closes_under_it_is_sent_again_only_if_that_is_harmless() {
+    let (nodes, _record) = nodes("").await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    nodes.set_balancer(SECOND_BALANCER, listener.local_addr().unwrap());
+    let balancer = tokio::spawn(async move {
+        let accept = async || BufReader::new(listener.accept().await.unwrap().0);
+        let mut first = accept().await;
+        balance(&mut first, "200 OK").await;
+        let order = head(&mut first).await;
+        drop(first);
+        let mut second = accept().await;
+        let read = balance(&mut second, "200 OK").await;
+        let crossed = head(&mut second).await;
+        drop(second);
+        [order, read, crossed, balance(&mut accept().await, "200 OK").await]
+    });
+    let mut sender = connect(nodes.address(FIRST)).await.unwrap();
+    for (method, path, status) in [
+        ("GET", "/read?hops=2&hop=1", StatusCode::OK),
+        ("POST", "/order?hops=2&hop=1", StatusCode::INTERNAL_SERVER_ERROR),
+        ("GET", "/read?hops=2&hop=1", StatusCode::OK),
+        ("GET", "/read?hops=2&hop=1", StatusCode::OK),
+    ] {
+        assert_eq!(send(&mut sender, method, path, Some("a")).await.unwrap().status, status);
+    }
+    let [order, read, crossed, again] = balancer.await.unwrap();
+    assert_eq!(order[0], "post /order?hops=1&hop=2 http/1.1");
+    assert_eq!(read[0], "get /read?hops=1&hop=2 http/1.1");
+    assert_eq!(crossed, again);
+}
+
 #[tokio::test]
 async fn a_stopped_node_refuses_and_comes_back_cold_on_the_same_port() {
     // A cold node bears two requests, a warm one any number.
