Hold a balancer's port for as long as its process may come back

Cause: a port that was found free was taken by another socket before the process bound it, or while the process was killed and not yet back; a start then answered for another process. Change: a socket that never listens holds the port; the system gives it to nobody else meanwhile.

--- a/scale/src/client/tests.rs
+++ b/scale/src/client/tests.rs
@@ -3,14 +3,15 @@
 mod open_loop;
 mod server;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use socket2::{Domain, Socket, Type};
+use socket2::SockRef;
 
 use super::caller::{Caller, Limits, Route};
 use super::{Arrival, Class};
+use crate::process::ReservedPort;
 use crate::record::{Call, CallEnd, Record};
 use crate::scenario::Scenario;
 use server::{Reply, Server, answer, answer_with};
@@ -67,14 +68,6 @@
     id: 0x1f,
 };
 
-/// An address where nothing listens, and what holds its port.
-fn dead_address() -> (Socket, SocketAddr) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a free port");
-    let address = socket.local_addr().ok().and_then(|address| address.as_socket()).expect("bound");
-    (socket, address)
-}
-
 /// Clients of a server whose first request on each connection is answered, and each later one as scripted.
 async fn after_first(limits: Limits, reply: impl Fn() -> Reply + Send + Sync + 'static) -> (Server, Clients) {
     let server = Server::start(move |request| if request.number == 0 { answer("200 OK") } else { reply() });
@@ -108,8 +101,8 @@
 
 #[tokio::test]
 async fn other_answers_fail_and_so_does_a_refused_connection() {
-    let (_held, address) = dead_address();
-    assert_eq!(Clients::new(address, LIMITS, 0).end().await, CallEnd::Failed);
+    let dead = ReservedPort::any().expect("a free port");
+    assert_eq!(Clients::new(dead.address(), LIMITS, 0).end().await, CallEnd::Failed);
     for status in ["500 Internal Server Error", "400 Bad Request", "201 Created"] {
         let server = Server::start(move |_| answer(status));
         assert_eq!(Clients::new(server.address, LIMITS, 0).end().await, CallEnd::Failed, "{status}");
@@ -181,8 +174,8 @@
 
 #[tokio::test]
 async fn a_close_by_a_server_that_is_gone_fails() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    let address = listener.local_addr().expect("bound");
+    let port = ReservedPort::any().expect("a free port");
+    let listener = TcpListener::bind(port.address()).expect("it may be shared");
     let gone = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a client");
         let mut bytes = [0; 1024];
@@ -190,9 +183,10 @@
         let _ = std::io::Write::write_all(&mut stream, answer_with("200 OK", "").as_bytes());
         let _ = std::io::Read::read(&mut stream, &mut bytes);
         std::thread::sleep(Duration::from_millis(100));
-        drop(listener);
+        // Other threads may start programs just now, which hold it for a moment too.
+        SockRef::from(&listener).shutdown(Shutdown::Both).expect("it listens");
     });
-    let clients = Clients::new(address, Limits { crossing: Duration::from_millis(50), ..LIMITS }, 0);
+    let clients = Clients::new(port.address(), Limits { crossing: Duration::from_millis(50), ..LIMITS }, 0);
     assert_eq!(clients.end().await, CallEnd::Served);
     assert_eq!(clients.end().await, CallEnd::Failed);
     gone.join().expect("no panic");
--- a/scale/src/client/tests/open_loop.rs
+++ b/scale/src/client/tests/open_loop.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use super::server::{Reply, Server, answer, answer_with};
-use super::{Clients, LIMITS, LONG, dead_address, scenario};
+use super::{Clients, LIMITS, LONG, scenario};
 use crate::client::caller::Limits;
 use crate::client::dispatch::make_calls;
 use crate::client::{Arrivals, run_real};
+use crate::process::ReservedPort;
 use crate::record::{CallEnd, Record};
 use crate::topology::Topology;
 
@@ -60,8 +61,8 @@
         _ => answer("200 OK"),
     });
     let (record, topology) = (Arc::<Record>::default(), Topology::of(&scenario.fleet));
-    let (_held, dead) = dead_address();
-    let targets = [server.address, dead];
+    let dead = ReservedPort::any().expect("a free port");
+    let targets = [server.address, dead.address()];
     let start = Instant::now();
     run_real(&scenario, &topology, targets.to_vec(), targets.to_vec(), start, Arc::clone(&record)).await;
     let drawn = Arrivals::through_balancers(&scenario, 2).count();
--- a/scale/src/process/balancer.rs
+++ b/scale/src/process/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File, OpenOptions};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,17 +13,13 @@
 use tokio::time::sleep;
 
 use super::error::ProcessError;
-use super::{health, log, program};
+use super::port::ReservedPort;
+use super::{health, log};
 
 /// A process accepts connections so long after its start at the latest.
 const LISTENS_WITHIN: Duration = Duration::from_secs(10);
 /// Wait between two looks at a process that is starting.
 const LOOK: Duration = Duration::from_millis(10);
-/// Tries at a port that something else holds just now.
-const PORT_TRIES: u32 = 20;
-/// Wait before a restart tries its own port again.
-const PORT_PAUSE: Duration = Duration::from_millis(50);
-
 /// A process of the balancer program. It is killed and reaped when dropped.
 #[derive(Debug)]
 pub struct BalancerProcess {
@@ -38,7 +34,8 @@
     program: PathBuf,
     configuration: PathBuf,
     log: PathBuf,
-    listen: SocketAddr,
+    /// Held while the process is down, so that it can come back.
+    port: ReservedPort,
 }
 
 impl BalancerProcess {
@@ -54,6 +51,33 @@
         name: &str,
         configuration: &str,
         listen: SocketAddr,
+    ) -> Result<Self, ProcessError> {
+        let port = ReservedPort::at(listen).map_err(|cause| no_port(name, listen, cause))?;
+        Self::start_on(port, program, directory, name, configuration).await
+    }
+
+    /// Starts a process at any free port; `configuration` is told the address. The rest is as in [`Self::start`].
+    ///
+    /// # Errors
+    /// As in [`Self::start`], or no port is free.
+    pub async fn start_anywhere(
+        program: &Path,
+        directory: &Path,
+        name: &str,
+        configuration: impl FnOnce(SocketAddr) -> String,
+    ) -> Result<Self, ProcessError> {
+        let port =
+            ReservedPort::any().map_err(|cause| ProcessError::NoPort { name: name.to_owned(), cause })?;
+        let configuration = configuration(port.address());
+        Self::start_on(port, program, directory, name, &configuration).await
+    }
+
+    async fn start_on(
+        port: ReservedPort,
+        program: &Path,
+        directory: &Path,
+        name: &str,
+        configuration: &str,
     ) -> Result<Self, ProcessError> {
         let folder = directory.join(name);
         let launch = Launch {
@@ -61,7 +85,7 @@
             program: program.to_owned(),
             configuration: folder.join("config.json"),
             log: folder.join("stderr.log"),
-            listen,
+            port,
         };
         fs::create_dir_all(&folder).map_err(|cause| launch.file_error(&folder, cause))?;
         launch.write(configuration)?;
@@ -71,37 +95,13 @@
         Ok(process)
     }
 
-    /// Starts a process at a free port, another one if something takes it first. `configuration` is told the
-    /// address.
-    ///
-    /// # Errors
-    /// As in [`Self::start`]; [`ProcessError::PortTaken`] only after many tries.
-    pub async fn start_anywhere(
-        program: &Path,
-        directory: &Path,
-        name: &str,
-        configuration: impl Fn(SocketAddr) -> String,
-    ) -> Result<Self, ProcessError> {
-        let mut tries = PORT_TRIES;
-        loop {
-            let listen = program::free_address()
-                .map_err(|cause| ProcessError::NoPort { name: name.to_owned(), cause })?;
-            let started = Self::start(program, directory, name, &configuration(listen), listen).await;
-            tries -= 1;
-            match started {
-                Err(ProcessError::PortTaken { .. }) if tries > 0 => {}
-                started => return started,
-            }
-        }
-    }
-
     /// Waits until `/_health` answers 200.
     ///
     /// # Errors
     /// The process ends, or is not ready `within` this time.
     pub async fn ready(&self, within: Duration) -> Result<(), ProcessError> {
         let start = Instant::now();
-        while !health::is_ready(self.launch.listen).await {
+        while !health::is_ready(self.launch.port.address()).await {
             self.still_runs()?;
             if start.elapsed() >= within {
                 return Err(self.late("ready", within));
@@ -114,7 +114,7 @@
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.launch.listen
+        self.launch.port.address()
     }
 
     /// The id of the process; another one after a restart.
@@ -168,29 +168,21 @@
     /// As in [`Self::start`].
     pub async fn kill_and_restart(&mut self) -> Result<(), ProcessError> {
         self.end().await;
-        let mut tries = PORT_TRIES;
-        loop {
-            *self.child() = self.launch.spawn()?;
-            let listens = self.listens().await;
-            tries -= 1;
-            match listens {
-                Err(ProcessError::PortTaken { .. }) if tries > 0 => sleep(PORT_PAUSE).await,
-                listens => return listens,
-            }
-        }
+        *self.child() = self.launch.spawn()?;
+        self.listens().await
     }
 
     /// Waits until it accepts connections.
     async fn listens(&self) -> Result<(), ProcessError> {
         let start = Instant::now();
-        while TcpStream::connect(self.launch.listen).await.is_err() {
+        while TcpStream::connect(self.launch.port.address()).await.is_err() {
             self.still_runs()?;
             if start.elapsed() >= LISTENS_WITHIN {
                 return Err(self.late("listening", LISTENS_WITHIN));
             }
             sleep(LOOK).await;
         }
-        // Another process may have taken the port just before, and this one ends for it.
+        // Something else may listen there that was told the same address, and this one ends for it.
         self.still_runs()
     }
 
@@ -224,13 +216,10 @@
     }
 
     fn spawn(&self) -> Result<Child, ProcessError> {
-        if self.taken() {
-            return Err(self.port_taken());
-        }
         Command::new(&self.program)
             .env_clear()
             .env("PROXY_CONFIG", &self.configuration)
-            .env("PROXY_LISTEN", self.listen.to_string())
+            .env("PROXY_LISTEN", self.port.address().to_string())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(self.open_log()?)
@@ -238,11 +227,6 @@
             .map_err(|cause| self.spawn_error(cause))
     }
 
-    /// Whether something else listens at its address.
-    fn taken(&self) -> bool {
-        TcpListener::bind(self.listen).is_err_and(|error| error.kind() == io::ErrorKind::AddrInUse)
-    }
-
     fn open_log(&self) -> Result<File, ProcessError> {
         let log = OpenOptions::new().create(true).append(true).open(&self.log);
         log.map_err(|cause| self.file_error(&self.log, cause))
@@ -252,7 +236,6 @@
     fn check(&self, child: &mut Child) -> Result<(), ProcessError> {
         match child.try_wait() {
             Ok(None) => Ok(()),
-            Ok(Some(_)) if self.taken() => Err(self.port_taken()),
             Ok(Some(status)) => {
                 Err(ProcessError::Exited { name: self.name.clone(), status, log: log::last_lines(&self.log) })
             }
@@ -267,14 +250,6 @@
         ProcessError::Spawn { name: self.name.clone(), program: self.program.clone(), cause }
     }
 
-    fn port_taken(&self) -> ProcessError {
-        ProcessError::PortTaken {
-            name: self.name.clone(),
-            address: self.listen,
-            log: log::last_lines(&self.log),
-        }
-    }
-
     fn file_error(&self, path: &Path, cause: io::Error) -> ProcessError {
         ProcessError::File { name: self.name.clone(), path: path.to_owned(), cause }
     }
@@ -284,5 +259,13 @@
     }
 }
 
+fn no_port(name: &str, address: SocketAddr, cause: io::Error) -> ProcessError {
+    let name = name.to_owned();
+    match cause.kind() {
+        io::ErrorKind::AddrInUse => ProcessError::PortTaken { name, address },
+        _ => ProcessError::NoPort { name, cause },
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/scale/src/process/balancer/tests.rs
+++ b/scale/src/process/balancer/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the start and end of processes, with the balancer program built for the tests.
 
 use std::fs;
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -8,6 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
 use tempfile::TempDir;
 
 use super::{BalancerProcess, ProcessError};
@@ -77,6 +79,12 @@
     }
 }
 
+/// Binds as one who does not share addresses.
+fn plain_bind(address: SocketAddr) -> Result<(), ErrorKind> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&address.into()).map_err(|error| error.kind())
+}
+
 fn runs(process: u32) -> bool {
     Path::new(&format!("/proc/{process}")).exists()
 }
@@ -111,6 +119,7 @@
     assert_eq!(process.exited(), None);
     process.end().await;
     assert!(process.exited().is_some());
+    assert_eq!(plain_bind(process.address()), Err(ErrorKind::AddrInUse), "the port is kept for its restart");
     let refused = process.replace_configuration("{}").expect_err("it has ended");
     assert!(matches!(refused, ProcessError::Exited { .. }), "{refused}");
 }
--- a/scale/src/process/error.rs
+++ b/scale/src/process/error.rs
@@ -38,17 +38,15 @@
         cause: io::Error,
     },
     /// Something else has the port.
-    #[error("balancer {name}: {address} is taken\n{log}")]
+    #[error("balancer {name}: {address} is taken")]
     PortTaken {
         /// The copy.
         name: String,
         /// Where it should listen.
         address: SocketAddr,
-        /// The last lines of its log.
-        log: String,
     },
-    /// No free port was found.
-    #[error("balancer {name}: no free port on loopback: {cause}")]
+    /// The port cannot be held, or none is free.
+    #[error("balancer {name}: no port on loopback: {cause}")]
     NoPort {
         /// The copy.
         name: String,
--- a/scale/src/process/mod.rs
+++ b/scale/src/process/mod.rs
@@ -4,12 +4,14 @@
 pub mod error;
 mod health;
 mod log;
+pub mod port;
 pub mod procfs;
 pub mod program;
 pub mod settings;
 
 pub use balancer::BalancerProcess;
 pub use error::ProcessError;
+pub use port::ReservedPort;
 pub use procfs::Sampler;
 pub use program::find_program;
 pub use settings::configuration;
--- /dev/null
+++ b/scale/src/process/port.rs
@@ -0,0 +1,44 @@
+//! Ports on loopback that stay with the tool while the processes that listen on them come and go.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use socket2::{Domain, Socket, Type};
+
+/// A port that is held by a socket that never listens.
+///
+/// The system gives it to nobody who asks for any port, and another process that is told the address may still
+/// listen there, as long as it sets `SO_REUSEADDR`, which the balancer does.
+#[derive(Debug)]
+pub struct ReservedPort {
+    address: SocketAddr,
+    _socket: Socket,
+}
+
+impl ReservedPort {
+    /// Reserves a free port of 127.0.0.1.
+    ///
+    /// # Errors
+    /// No port or no descriptor is free.
+    pub fn any() -> io::Result<Self> {
+        Self::at((Ipv4Addr::LOCALHOST, 0).into())
+    }
+
+    /// Reserves this address.
+    ///
+    /// # Errors
+    /// Something listens there, or no descriptor is free.
+    pub fn at(address: SocketAddr) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        let address = socket.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        Ok(Self { address, _socket: socket })
+    }
+
+    /// The address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
--- a/scale/src/process/program.rs
+++ b/scale/src/process/program.rs
@@ -1,8 +1,6 @@
-//! Where the balancer program is, and a free port for it.
+//! Where the balancer program is.
 
 use std::env;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
 use super::error::ProcessError;
@@ -31,11 +29,3 @@
     let folder = if is_test { folder.parent().unwrap_or(folder) } else { folder };
     folder.join(PROGRAM)
 }
-
-/// An address of 127.0.0.1 with a port that is free now; another process may take it at any time.
-///
-/// # Errors
-/// No port is free.
-pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
