--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -3,9 +3,11 @@
 //! Real balancer processes and hollow balancers (the decision module and the watch code without sockets for
 //! clients) stand beside stand-in nodes and a stand-in control plane. Everything is on loopback.
 
+pub mod client;
 pub mod control;
 pub mod node;
 pub mod port;
+pub mod process;
 pub mod record;
 pub mod scenario;
 pub mod topology;
