Carry hollow copies against modelled nodes on one thread

Cause: limits, ejections, subsets and cold budgets of a fleet of hundreds of copies can't be measured with a process for each.

Change: scale/src/hollow holds up to thousands of copies, each the module's Balancer with dahliahead's watch, list and subscription on its own control address. Calls are drawn from the seed; nodes call on through their own copies with the time left; connections, time-outs, refusals, repeats, leavings, silence, restarts and cuts between regions are modelled. How late list changes are told and come into force, duplicates, lost calls and falls of cold nodes go into the record.

--- /dev/null
+++ b/scale/src/hollow/copy.rs
@@ -0,0 +1,154 @@
+//! One hollow copy: the decisions, the list and the watch of a balancer, without sockets for clients.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dahliahead::clock::Clock;
+use dahliahead::config::Config;
+use dahliahead::directory::{Change, Directory, Origin};
+use dahliahead::discovery::Update;
+use dahliahead::subscription::Subscription;
+use peathatch::Balancer;
+use peathatch::interface::{AttemptNumber, ClassId, RequestId, SettingsError, TenantId, UpstreamId};
+use peathatch_wirehost::setup::Names;
+use rustc_hash::FxHashMap;
+
+use super::calls::{AttemptId, CallClass};
+use super::connections::IdleConnections;
+use crate::process::settings::{CLASS_ORDER, CLASS_READ, tenant_name};
+use crate::topology::RegionId;
+
+/// Part of the settings' idle limit after which a kept connection is closed, as in the balancer.
+const KEEP_PART: f64 = 0.7;
+
+/// An attempt whose connection does not come up.
+#[derive(Debug, Clone, Copy)]
+struct Connecting {
+    upstream: UpstreamId,
+    attempt: AttemptId,
+}
+
+/// A hollow copy.
+pub(super) struct HollowCopy {
+    /// Its decisions.
+    pub balancer: Balancer,
+    /// The list in hand.
+    pub directory: Directory,
+    /// Its watch on control.
+    pub subscription: Subscription,
+    /// The list from its configuration, until it is taken in.
+    pub known: Option<Update>,
+    /// The list in hand names an upstream to send to.
+    pub ready: bool,
+    /// The version of the list that it was last told.
+    pub version: u64,
+    /// A watch has told it something.
+    pub told: bool,
+    /// Counts its processes.
+    pub life: u64,
+    /// Its region.
+    pub region: RegionId,
+    /// Its idle connections.
+    pub idle: IdleConnections,
+    /// How long a connection may take to come up.
+    pub connect_timeout: Duration,
+    /// How long a connection is kept idle.
+    pub keep: Duration,
+    /// Counts the descriptors of its watches.
+    pub sockets: Rc<Cell<usize>>,
+    names: Names,
+    /// Positions of the nodes listed.
+    nodes: FxHashMap<UpstreamId, usize>,
+    connecting: Vec<Connecting>,
+}
+
+impl HollowCopy {
+    /// A copy that was just started and has heard nothing yet.
+    ///
+    /// # Errors
+    /// The settings make no sense.
+    pub fn start(config: Config, clock: Clock, region: RegionId, life: u64) -> Result<Self, SettingsError> {
+        let keepalive = config.loaded.settings.allowed.keepalive;
+        // A process that starts anew draws anew.
+        let balancer = Balancer::new(config.loaded.settings, config.seed.wrapping_add(life))?;
+        Ok(Self {
+            balancer,
+            directory: Directory::new(clock),
+            subscription: Subscription::new(config.discovery),
+            known: config.known,
+            ready: false,
+            version: 0,
+            told: false,
+            life,
+            region,
+            idle: IdleConnections::default(),
+            connect_timeout: config.loaded.connect_timeout,
+            keep: keepalive.mul_f64(KEEP_PART),
+            sockets: Rc::default(),
+            names: config.loaded.names,
+            nodes: FxHashMap::default(),
+            connecting: Vec::new(),
+        })
+    }
+
+    /// Takes in an update of the list; `positions` has the fleet's nodes by name.
+    pub fn take_list(
+        &mut self,
+        update: &Update,
+        origin: Origin,
+        positions: &FxHashMap<String, usize>,
+    ) -> Change {
+        let change = self.directory.take(update, origin, &self.names);
+        for endpoint in &update.endpoints {
+            if let Some(upstream) = self.directory.number(&endpoint.name)
+                && let Some(&node) = positions.get(&endpoint.name)
+            {
+                self.nodes.insert(upstream, node);
+            }
+        }
+        let directory = &self.directory;
+        self.nodes.retain(|&upstream, _| directory.lists(upstream));
+        change
+    }
+
+    /// Position of the node behind an upstream.
+    pub fn node(&self, upstream: UpstreamId) -> Option<usize> {
+        self.nodes.get(&upstream).copied()
+    }
+
+    /// A class of calls in terms of the settings.
+    pub fn class(&self, class: CallClass) -> Option<ClassId> {
+        let name = match class {
+            CallClass::Read => CLASS_READ,
+            CallClass::Order => CLASS_ORDER,
+        };
+        self.names.classes.get(name).copied().map(ClassId)
+    }
+
+    /// A tenant in terms of the settings.
+    pub fn tenant(&self, number: u32) -> Option<TenantId> {
+        self.names.tenants.get(&tenant_name(number)).copied().map(TenantId)
+    }
+
+    /// The fields of load reports.
+    pub fn load_fields(&self) -> &[String] {
+        &self.names.load_fields
+    }
+
+    /// An attempt's connection does not come up for now.
+    pub fn connects(&mut self, upstream: UpstreamId, attempt: AttemptId) {
+        self.connecting.push(Connecting { upstream, attempt });
+    }
+
+    /// An attempt is no longer connecting.
+    pub fn stops_connecting(&mut self, request: RequestId, number: AttemptNumber) {
+        self.connecting.retain(|connecting| connecting.attempt != AttemptId { request, number });
+    }
+
+    /// The attempts whose connection to an upstream does not come up.
+    pub fn connecting_to(&self, upstream: UpstreamId) -> Vec<AttemptId> {
+        let to = self.connecting.iter().filter(|connecting| connecting.upstream == upstream);
+        to.map(|connecting| connecting.attempt).collect()
+    }
+}
--- /dev/null
+++ b/scale/src/hollow/plan.rs
@@ -0,0 +1,36 @@
+//! What the hollow part models.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use crate::control::ControlPlane;
+use crate::process::settings;
+use crate::scenario::Scenario;
+use crate::topology::{Carrier, CopyId, Topology};
+
+/// Where hollow copies are told to listen; nobody does.
+const LISTEN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
+
+/// The scenario of a run and who stands where in it.
+#[derive(Debug, Clone)]
+pub(super) struct Plan {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The fleet.
+    pub topology: Topology,
+    /// Seed of all chance in the hollow part.
+    pub seed: u64,
+}
+
+impl Plan {
+    /// Hollow copies, and hollow nodes: they come first in the topology, one copy on each node.
+    pub fn hollow(&self) -> usize {
+        self.topology.copies.iter().filter(|copy| copy.carrier == Carrier::Hollow).count()
+    }
+
+    /// The text of a copy's configuration, with the list as it is now.
+    pub fn configuration(&self, copy: CopyId, control: &ControlPlane) -> String {
+        let known = control.list(self.topology.copies[copy.0].target);
+        let address = control.address(copy);
+        settings::configuration(&self.scenario, &self.topology, copy, LISTEN, address, &known, None)
+    }
+}
--- /dev/null
+++ b/scale/src/hollow/progress.rs
@@ -0,0 +1,69 @@
+//! How far the hollow part has come, for those outside its thread.
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Counts that the thread keeps and others read.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    ready: AtomicUsize,
+    told: AtomicUsize,
+    open_calls: AtomicUsize,
+    behind_us: AtomicU64,
+}
+
+impl Progress {
+    /// Copies with an endpoint to send to.
+    pub fn ready(&self) -> usize {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    /// Copies whose watch has told them something.
+    pub fn told(&self) -> usize {
+        self.told.load(Ordering::Relaxed)
+    }
+
+    /// Calls without an end so far.
+    pub fn open_calls(&self) -> usize {
+        self.open_calls.load(Ordering::Relaxed)
+    }
+
+    /// The longest time from when something fell due during the load until it was handled.
+    pub fn behind(&self) -> Duration {
+        Duration::from_micros(self.behind_us.load(Ordering::Relaxed))
+    }
+
+    /// A copy that could serve, or not, now can or cannot.
+    pub fn now_ready(&self, before: bool, after: bool) {
+        change(&self.ready, before, after);
+    }
+
+    /// A copy that was told, or not, now is or is not.
+    pub fn now_told(&self, before: bool, after: bool) {
+        change(&self.told, before, after);
+    }
+
+    /// A call has arrived.
+    pub fn call_opened(&self) {
+        self.open_calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A call has ended.
+    pub fn call_ended(&self) {
+        self.open_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Something was handled so late.
+    pub fn was_behind(&self, behind: Duration) {
+        let behind_us = u64::try_from(behind.as_micros()).unwrap_or(u64::MAX);
+        self.behind_us.fetch_max(behind_us, Ordering::Relaxed);
+    }
+}
+
+fn change(count: &AtomicUsize, before: bool, after: bool) {
+    match (before, after) {
+        (false, true) => drop(count.fetch_add(1, Ordering::Relaxed)),
+        (true, false) => drop(count.fetch_sub(1, Ordering::Relaxed)),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/scale/src/hollow/tests.rs
@@ -0,0 +1,222 @@
+//! Small fleets of hollow copies on loopback, with the real control plane of the model.
+
+use std::time::Duration;
+
+use dahliahead::discovery::Endpoint;
+use tokio::time::{sleep, timeout};
+
+use super::arrivals::{Arrival, Arrivals};
+use super::*;
+use crate::process::settings;
+use crate::record::CallEnd;
+use crate::scenario::SettingsChange;
+use crate::topology::{Carrier, ServiceId};
+
+/// 24 copies, 8 behind each service; `extra` goes before the parts that all tests share.
+fn scenario(extra: &str) -> Scenario {
+    let text = format!(
+        r#"
+        name = "hollow"
+        duration_s = 1.5
+        {extra}
+        [fleet]
+        services = 3
+        hollow = 24
+        real = 0
+        regions = 2
+        zones = 2
+        [load]
+        real_calls_per_s = 0.0
+        hollow_calls_per_s = 300.0
+        depths = [{{ hops = 1, share = 0.5 }}, {{ hops = 4, share = 0.5 }}]
+        unsafe_share = 0.3
+        client_retries = 1
+        leaving_share = 0.05
+        deadline_s = 1.0
+        [node]
+        error_share = 0.02
+        reset_share = 0.01
+        "#
+    );
+    toml::from_str(&text).expect("a scenario")
+}
+
+fn endpoint(topology: &Topology, node: NodeId, weight: f64) -> Endpoint {
+    let node = &topology.nodes[node.0];
+    Endpoint {
+        name: node.name.clone(),
+        address: "127.0.0.1:9".to_owned(),
+        zone: topology.zone_name(node.zone),
+        kind: "std".to_owned(),
+        group: 0,
+        status: "ready".to_owned(),
+        weight,
+        since_ms: 0,
+    }
+}
+
+struct TestFleet {
+    scenario: Scenario,
+    topology: Topology,
+    control: Arc<ControlPlane>,
+    record: Arc<Record>,
+    fleet: HollowFleet,
+}
+
+impl TestFleet {
+    /// All copies run and have heard from control; the load has not begun.
+    async fn start(scenario: Scenario) -> Self {
+        let topology = Topology::of(&scenario.fleet);
+        let record = Arc::new(Record::default());
+        let control = ControlPlane::start(&scenario, &topology, Arc::clone(&record)).await.expect("ports");
+        for (number, service) in topology.services.iter().enumerate() {
+            let listed = service.nodes.iter().map(|&node| endpoint(&topology, node, 1.0)).collect();
+            control.set_list(ServiceId(number), listed);
+        }
+        let fleet = HollowFleet::start(&scenario, &topology, &control, Arc::clone(&record), scenario.seed);
+        let test = Self { fleet: fleet.expect("it starts"), scenario, topology, control, record };
+        test.until("all copies are told", |test| test.fleet.told() == 24).await;
+        assert_eq!(test.fleet.ready(), 24);
+        test
+    }
+
+    async fn until(&self, what: &str, done: impl Fn(&Self) -> bool) {
+        let waiting = async {
+            while !done(self) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(Duration::from_secs(30), waiting).await.unwrap_or_else(|_| panic!("waited in vain: {what}"));
+    }
+
+    fn arrivals(&self) -> Vec<Arrival> {
+        drawn(&self.scenario, self.scenario.seed)
+    }
+
+    fn ended(&self) -> usize {
+        self.record.measured().calls.len()
+    }
+
+    /// Waits for the last call and checks what holds in every run; returns how many were served.
+    async fn finish(self) -> usize {
+        let drawn = self.arrivals().len();
+        assert!(drawn > 300, "{drawn} calls were drawn");
+        self.until("all calls end", |test| test.ended() >= drawn).await;
+        let end = self.fleet.stop().expect("the thread ran to its end");
+        assert_eq!(end.open_calls, 0);
+        let measured = self.record.measured();
+        let count = |end| measured.calls.iter().filter(|call| call.end == end).count();
+        let [served, refused, failed, left] =
+            [CallEnd::Served, CallEnd::Refused, CallEnd::Failed, CallEnd::Left].map(count);
+        assert_eq!(served + refused + failed + left, drawn);
+        assert_eq!((count(CallEnd::Lost), measured.duplicated), (0, 0));
+        // A client waits for a second; the balancer's last word comes 2 ms later.
+        let late = measured.calls.iter().filter(|call| call.took > Duration::from_millis(1002)).count();
+        assert_eq!(late, 0);
+        served
+    }
+}
+
+fn drawn(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
+    let time = Duration::from_secs_f64(scenario.duration_s);
+    Arrivals::new(&scenario.load, scenario.fleet.hollow as usize, time, seed).collect()
+}
+
+/// Guards runs that are to be compared: one seed draws one sequence of arrivals, in order of time.
+#[test]
+fn one_seed_draws_the_same_arrivals() {
+    let scenario = scenario("");
+    let first = drawn(&scenario, 7);
+    assert!(first.is_sorted_by_key(|arrival| arrival.at));
+    assert_eq!(first, drawn(&scenario, 7));
+    assert_ne!(first, drawn(&scenario, 8));
+}
+
+/// Guards the counts of calls, requests and attempts against each other, over calls with errors, resets, repeats and
+/// clients that leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_call_ends_once() {
+    let test = TestFleet::start(scenario("")).await;
+    test.fleet.begin_load(Instant::now());
+    let (record, arrivals) = (Arc::clone(&test.record), test.arrivals());
+    let served = test.finish().await;
+    assert!(served > arrivals.len() * 8 / 10, "{served} of {} served", arrivals.len());
+    let measured = record.measured();
+    let place = crate::record::place(Carrier::Hollow);
+    let deep = arrivals.iter().filter(|arrival| arrival.hops == 4).count() as u64;
+    assert!(measured.hop_calls[place][&1] >= arrivals.len() as u64);
+    assert_eq!(measured.hop_calls[place].keys().copied().max(), Some(4));
+    assert!(measured.attempts[place][&4] > deep / 2);
+    let served_deep = measured.calls.iter().filter(|call| call.hops == 4 && call.end == CallEnd::Served);
+    assert!(served_deep.count() as u64 > deep / 2);
+}
+
+/// Guards against calls that hang on a machine that is gone: the decisions go round it, and none is waited for past
+/// its time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_node_is_gone_round() {
+    let test = TestFleet::start(scenario("")).await;
+    test.fleet.silence(NodeId(0), true);
+    test.fleet.begin_load(Instant::now());
+    let drawn = test.arrivals().len();
+    let served = test.finish().await;
+    assert!(served > drawn * 7 / 10, "{served} of {drawn} served");
+}
+
+/// Guards the counts through faults in the middle of the load: restarts, silence and regions apart.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_end_once_through_faults() {
+    let test = TestFleet::start(scenario("")).await;
+    test.fleet.begin_load(Instant::now());
+    test.until("some calls end", |test| test.ended() >= 50).await;
+    test.fleet.restart(NodeId(3));
+    test.fleet.silence(NodeId(4), true);
+    test.until("more calls end", |test| test.ended() >= 120).await;
+    test.fleet.cut_regions(true);
+    test.fleet.silence(NodeId(4), false);
+    test.until("more calls end", |test| test.ended() >= 200).await;
+    test.fleet.cut_regions(false);
+    test.fleet.restart(NodeId(4));
+    test.until("the restarted copies are told", |test| test.fleet.told() == 24).await;
+    let served = test.finish().await;
+    assert!(served > 0);
+}
+
+/// Guards the way of a change from control to the decisions of every copy, by a patch on a watch that stands and by
+/// one that was opened again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_list_change_reaches_every_copy() {
+    let mut scenario = scenario("");
+    scenario.load.hollow_calls_per_s = 0.0;
+    let test = TestFleet::start(scenario).await;
+    let nodes = test.topology.services[1].nodes.clone();
+    // Made before the load: in no figure.
+    test.control.change(ServiceId(1), endpoint(&test.topology, nodes[0], 1.5));
+    test.fleet.begin_load(Instant::now());
+    let told = |test: &TestFleet| test.record.measured().told_us.count();
+    test.control.change(ServiceId(1), endpoint(&test.topology, nodes[1], 2.0));
+    test.until("the change is told", |test| told(test) >= 8).await;
+    test.control.break_watches();
+    test.control.change(ServiceId(2), endpoint(&test.topology, test.topology.services[2].nodes[0], 2.0));
+    test.until("the next change is told", |test| told(test) >= 16).await;
+    test.fleet.stop().expect("the thread ran to its end");
+    let measured = test.record.measured();
+    assert_eq!((measured.told_us.count(), measured.in_force_us.count()), (16, 16));
+}
+
+/// Guards the settings in force against a text that does not parse: the copy is counted as missed and serves on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn malformed_settings_are_missed() {
+    let test = TestFleet::start(scenario("")).await;
+    let (copy, service) = (CopyId(5), test.topology.copies[5].target);
+    let known = test.control.list(service);
+    let (address, change) = (test.control.address(copy), Some(SettingsChange::Malformed));
+    let listen = "127.0.0.1:9".parse().expect("an address");
+    let text = settings::configuration(&test.scenario, &test.topology, copy, listen, address, &known, change);
+    test.fleet.reload(copy, text);
+    test.fleet.begin_load(Instant::now());
+    let record = Arc::clone(&test.record);
+    test.finish().await;
+    let measured = record.measured();
+    assert_eq!((measured.settings_missed, measured.settings_us.count()), (1, 0));
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod control;
+pub mod hollow;
 pub mod node;
 pub mod port;
 pub mod process;
