--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod faults;
 pub mod fit;
+pub mod hollow;
 pub mod interrupt;
 pub mod node;
 pub mod plan;
