Name the tenant in the query, which balancers pass on to the next node

Calls deeper than one hop were answered 400 at the second balancer: a balancer passes on path, query, body and X-Request-Id, but not X-Tenant, so that the node had no tenant to name. Now the query names it, and a node puts it into the next call's query and header.

--- a/scale/src/client/request.rs
+++ b/scale/src/client/request.rs
@@ -24,8 +24,9 @@
 pub(super) struct Requests {
     /// Number of the hop that a request arrives at.
     hop: u32,
-    reads: BTreeMap<u32, Uri>,
-    orders: BTreeMap<u32, Uri>,
+    /// By hops and number of the tenant.
+    reads: BTreeMap<(u32, u32), Uri>,
+    orders: BTreeMap<(u32, u32), Uri>,
     hosts: Vec<HeaderValue>,
     tenants: Vec<HeaderValue>,
 }
@@ -33,7 +34,10 @@
 impl Requests {
     /// For requests of these depths to these targets.
     pub(super) fn new(hop: u32, depths: impl Iterator<Item = u32> + Clone, targets: &[SocketAddr]) -> Self {
-        let uris = |class: Class| depths.clone().map(|hops| (hops, uri(class, hops, hop))).collect();
+        let each = || depths.clone().flat_map(|hops| (0..TENANTS).map(move |tenant| (hops, tenant)));
+        let uris = |class: Class| {
+            each().map(|(hops, tenant)| ((hops, tenant), uri(class, hops, hop, tenant))).collect()
+        };
         let (reads, orders) = (uris(Class::Read), uris(Class::Order));
         let hosts = targets.iter().map(|address| value(&address.to_string())).collect();
         let tenants = (0..TENANTS).map(|number| value(&tenant_name(number))).collect();
@@ -48,8 +52,9 @@
         };
         let mut request = Request::new(body);
         *request.method_mut() = method;
-        let known = uris.get(&arrival.hops).cloned();
-        *request.uri_mut() = known.unwrap_or_else(|| uri(arrival.class, arrival.hops, self.hop));
+        let known = uris.get(&(arrival.hops, arrival.tenant)).cloned();
+        let made = || uri(arrival.class, arrival.hops, self.hop, arrival.tenant);
+        *request.uri_mut() = known.unwrap_or_else(made);
         let id = arrival.id.wrapping_add(u64::from(number));
         let headers = request.headers_mut();
         headers.insert(HOST, self.hosts[arrival.target].clone());
@@ -60,8 +65,10 @@
     }
 }
 
-fn uri(class: Class, hops: u32, hop: u32) -> Uri {
-    let text = format!("/{}?hops={hops}&hop={hop}", class.name());
+/// The tenant stands in the query as well: balancers pass on the query, but no header that names it, and nodes
+/// have to tell it to the next balancer.
+fn uri(class: Class, hops: u32, hop: u32, tenant: u32) -> Uri {
+    let text = format!("/{}?hops={hops}&hop={hop}&tenant={}", class.name(), tenant_name(tenant));
     text.parse().expect("a path of plain letters and digits")
 }
 
--- a/scale/src/client/tests.rs
+++ b/scale/src/client/tests.rs
@@ -85,8 +85,8 @@
     clients.call(Arrival { class: Class::Order, ..ARRIVAL }).await;
     let seen = server.seen();
     assert!(seen.iter().all(|request| request.connection == 0), "the connection is kept");
-    assert_eq!(seen[0].line, "GET /read?hops=3&hop=1");
-    assert_eq!(seen[1].line, "POST /order?hops=3&hop=1");
+    assert_eq!(seen[0].line, "GET /read?hops=3&hop=1&tenant=tenant-2");
+    assert_eq!(seen[1].line, "POST /order?hops=3&hop=1&tenant=tenant-2");
     assert_eq!(
         (seen[0].header("x-request-id"), seen[0].header("x-tenant")),
         ("000000000000001f", "tenant-2")
@@ -252,7 +252,7 @@
     let server = Server::start(|_| answer("200 OK"));
     let clients = Clients::of(Route::Nodes, server.address, LIMITS, 0);
     clients.caller.call(ARRIVAL, Instant::now()).await;
-    assert_eq!(server.seen()[0].line, "GET /read?hops=3&hop=0");
+    assert_eq!(server.seen()[0].line, "GET /read?hops=3&hop=0&tenant=tenant-2");
     let measured = clients.record.measured();
     assert_eq!(measured.direct_us.count(), 1);
     assert!(measured.calls.is_empty() && measured.hop_calls[0].is_empty());
--- a/scale/src/node/onward.rs
+++ b/scale/src/node/onward.rs
@@ -52,7 +52,7 @@
     pub(super) class: Class,
     pub(super) hops: u32,
     pub(super) hop: u32,
-    pub(super) tenant: Option<HeaderValue>,
+    pub(super) tenant: Option<String>,
     /// How long the node waits, if its caller said so.
     pub(super) left: Option<Duration>,
 }
@@ -158,7 +158,11 @@
 }
 
 fn request(address: SocketAddr, call: &OnwardCall, id: &str) -> Request<Empty<Bytes>> {
-    let path = format!("/{}?hops={}&hop={}", call.class.name(), call.hops, call.hop);
+    let mut path = format!("/{}?hops={}&hop={}", call.class.name(), call.hops, call.hop);
+    if let Some(tenant) = &call.tenant {
+        path.push_str("&tenant=");
+        path.push_str(tenant);
+    }
     let mut request = Request::new(Empty::new());
     *request.method_mut() = call.class.method();
     *request.uri_mut() = path.parse().unwrap_or_default();
@@ -173,7 +177,7 @@
         set(header::HeaderName::from_static("x-deadline"), format!("{:.6}", left.as_secs_f64()));
     }
     if let Some(tenant) = &call.tenant {
-        request.headers_mut().insert("x-tenant", tenant.clone());
+        set(header::HeaderName::from_static("x-tenant"), tenant.clone());
     }
     request
 }
--- a/scale/src/node/request.rs
+++ b/scale/src/node/request.rs
@@ -62,8 +62,8 @@
     pub(super) hops: u32,
     /// This hop, counted from 1.
     pub(super) hop: u32,
-    /// The tenant, as it came.
-    pub(super) tenant: Option<HeaderValue>,
+    /// The tenant, as the query names it.
+    pub(super) tenant: Option<String>,
     /// How long the caller waits, if it says so.
     pub(super) deadline: Option<Duration>,
 }
@@ -83,7 +83,7 @@
             class: if class == Some(ORDER) { Class::Order } else { Class::Read },
             hops: count(query, "hops")?,
             hop: count(query, "hop")?,
-            tenant: head.headers.get("x-tenant").cloned(),
+            tenant: named(query, "tenant").map(str::to_owned),
             deadline,
         })
     }
@@ -100,6 +100,11 @@
 
 /// A count in the query, 1 if it is not there.
 fn count(query: &str, name: &str) -> Result<u32, RequestError> {
-    let mut values = query.split('&').filter_map(|part| part.split_once('=')).filter(|(key, _)| *key == name);
-    values.next().map_or(Ok(1), |(_, value)| value.parse().map_err(|_| RequestError::Malformed))
+    named(query, name).map_or(Ok(1), |value| value.parse().map_err(|_| RequestError::Malformed))
+}
+
+/// A value in the query.
+fn named<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut parts = query.split('&').filter_map(|part| part.split_once('='));
+    parts.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
--- a/scale/src/node/request/tests.rs
+++ b/scale/src/node/request/tests.rs
@@ -14,10 +14,10 @@
 
 #[test]
 fn a_request_is_read_with_all_its_parts() {
-    let headers = [("x-request-id", "a1"), ("x-tenant", "tenant-0"), ("x-deadline", "0.480")];
-    let request = read("/order?hops=26&hop=2", &headers).unwrap();
+    let headers = [("x-request-id", "a1"), ("x-deadline", "0.480")];
+    let request = read("/order?hops=26&hop=2&tenant=tenant-0", &headers).unwrap();
     assert_eq!((request.id.as_str(), request.class, request.hops, request.hop), ("a1", Class::Order, 26, 2));
-    assert_eq!(request.tenant.unwrap(), "tenant-0");
+    assert_eq!(request.tenant.as_deref(), Some("tenant-0"));
     assert_eq!(request.deadline, Some(Duration::from_millis(480)));
     let plain = read("/read", &[("x-request-id", "a2")]).unwrap();
     assert_eq!((plain.class, plain.hops, plain.hop, plain.deadline), (Class::Read, 1, 1, None));
--- a/scale/tests/nodes.rs
+++ b/scale/tests/nodes.rs
@@ -178,14 +178,14 @@
     });
     let mut sender = connect(nodes.address(FIRST)).await.unwrap();
     for status in [StatusCode::OK, StatusCode::INTERNAL_SERVER_ERROR, StatusCode::OK] {
-        let answer = send(&mut sender, "GET", "/read?hops=5&hop=3", Some("a")).await.unwrap();
+        let answer = send(&mut sender, "GET", "/read?hops=5&hop=3&tenant=tenant-2", Some("a")).await.unwrap();
         assert_eq!(answer.status, status);
     }
     let heads = balancer.await.unwrap();
     let mut ids: Vec<&str> = heads.iter().map(|head| header(head, "x-request-id")).collect();
     for head in &heads {
-        assert_eq!(head[0], "get /read?hops=4&hop=4 http/1.1");
-        assert_eq!(header(head, "x-tenant"), "tenant-1");
+        assert_eq!(head[0], "get /read?hops=4&hop=4&tenant=tenant-2 http/1.1");
+        assert_eq!(header(head, "x-tenant"), "tenant-2");
         let left: f64 = header(head, "x-deadline").parse().unwrap();
         assert!(left > 0.0 && left < 5.0, "{left}");
     }
