Count a version told to a copy once, and say which one it was told last

A restarted process asks from the version in its configuration, and what the process before it was told already counted again, as seconds late. Each copy's desk now keeps the latest version that was written.

--- a/scale/src/control/mod.rs
+++ b/scale/src/control/mod.rs
@@ -10,6 +10,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -89,6 +90,7 @@
                 service: copy.target,
                 carrier: copy.carrier,
                 counters: Counters::default(),
+                told: AtomicU64::default(),
                 turns: control.turns[replica].clone(),
                 views: control.views.clone(),
                 signals: control.signals.clone(),
@@ -175,6 +177,12 @@
         self.signals.send_modify(|signals| signals.breaks += 1);
     }
 
+    /// The latest version of its list that was written to a copy, or that it came with.
+    #[must_use]
+    pub fn told(&self, copy: CopyId) -> u64 {
+        self.desks[copy.0].told.load(Ordering::Relaxed)
+    }
+
     /// What was carried for a copy so far.
     #[must_use]
     pub fn usage(&self, copy: CopyId) -> ControlUsage {
--- a/scale/src/control/replica.rs
+++ b/scale/src/control/replica.rs
@@ -48,6 +48,8 @@
     pub(super) service: ServiceId,
     pub(super) carrier: Carrier,
     pub(super) counters: Counters,
+    /// The latest version that the copy was told or came with.
+    pub(super) told: AtomicU64,
     pub(super) turns: Arc<Mutex<Turns>>,
     pub(super) views: Arc<Views>,
     pub(super) signals: watch::Sender<Signals>,
--- a/scale/src/control/watch.rs
+++ b/scale/src/control/watch.rs
@@ -1,5 +1,6 @@
 //! A watch: an answer that is kept open and tells what changes.
 
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use tokio::net::TcpStream;
@@ -56,13 +57,15 @@
 /// Writes a line and returns the version that the copy has then.
 async fn tell(desk: &Desk, stream: &mut TcpStream, since: u64, line: Line) -> Result<u64, Closing> {
     say(desk, stream, &http::chunk(&line.text)).await?;
+    let before = desk.told.fetch_max(line.version, Ordering::Relaxed);
     if desk.carrier == Carrier::Real && since > 0 {
-        count_told(desk, since, line.version);
+        count_told(desk, since.max(before), line.version);
     }
     Ok(line.version)
 }
 
-/// A change is told to a real balancer once it has been written to it. Hollow copies count what arrives.
+/// A change is told to a real balancer once it has been written to it, be it to a process before this one. Hollow
+/// copies count what arrives.
 fn count_told(desk: &Desk, since: u64, version: u64) {
     let now = Instant::now();
     let made: Vec<Instant> = desk.views.look(desk.service, |catalog| {
