--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod process;
 pub mod record;
 pub mod report;
+pub mod run;
 pub mod scenario;
 pub mod table;
 pub mod topology;
--- a/scale/src/record.rs
+++ b/scale/src/record.rs
@@ -92,6 +92,8 @@
     pub duplicated: u64,
     /// Cold nodes that fell.
     pub cold_falls: u64,
+    /// Changes of lists that were made since the start of the load.
+    pub list_changes: u64,
     /// From a list change to its arrival at a copy, in microseconds.
     pub told_us: Times,
     /// From a list change to when a copy decides by it, in microseconds.
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use self::calls::Calls;
+use crate::hollow::HollowEnd;
 use crate::record::{ControlUsage, Measured, ProcessUsage, Times, place};
 use crate::scenario::Scenario;
 use crate::topology::{Carrier, CopyId};
@@ -21,6 +22,9 @@
 /// Depths whose latency is always named.
 const DEPTHS: [u32; 3] = [1, 9, 27];
 
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+
 /// What a report is made from, beside what was measured.
 #[derive(Debug, Clone)]
 pub struct Run<'a> {
@@ -34,8 +38,12 @@
     pub faults: Vec<FaultSpan>,
     /// What control carried for each copy during the load.
     pub control: Vec<ControlUsage>,
-    /// Changes of lists that were made.
-    pub list_changes: u64,
+    /// Copies that had not been told the latest version of their list at the end.
+    pub lists_behind: Option<usize>,
+    /// What the hollow copies had left when they were stopped.
+    pub hollow_end: Option<HollowEnd>,
+    /// What the tool itself used during the load, and its memory at the end of it.
+    pub tool: Option<ProcessUsage>,
     /// Why the run did not come to its end.
     pub ended_early: Option<String>,
 }
@@ -95,6 +103,11 @@
     pub one_hop_latency_us: Option<Latency>,
     /// The same calls sent straight to a node.
     pub direct_latency_us: Option<Latency>,
+    /// By how much the client was late with calls to sockets: if it is not small beside the times of calls, the
+    /// machine did not carry the load.
+    pub client_lag_us: Option<Latency>,
+    /// Calls that the client never sent because too many were out; they count as failed.
+    pub client_unsent: u64,
     /// Calls through real balancers by depth.
     pub depth_latency_us: BTreeMap<u32, Option<Latency>>,
     /// Calls through hollow balancers by depth, in modelled time.
@@ -115,14 +128,25 @@
     pub balancer_core_percent: Option<MeanMax>,
     /// Percent of a core of the hollow copies' threads, by copy.
     pub hollow_core_percent: Option<f64>,
+    /// The longest time by which the hollow copies' thread was late, in milliseconds: if it is not small beside the
+    /// times of calls, the machine did not carry the load.
+    pub hollow_behind_ms: Option<f64>,
+    /// Calls to hollow copies that had no end when they were stopped; they are in no figure.
+    pub hollow_open_calls: Option<usize>,
     /// Resident memory of a real balancer in megabytes: mean and highest over all looks.
     pub memory_mb: Option<MeanMax>,
     /// Descriptors of a real balancer.
     pub descriptors: Option<MeanMax>,
     /// Wake-ups a second of a real balancer.
     pub wakeups_per_s: Option<MeanMax>,
+    /// Percent of a core of the tool itself: clients, nodes, control and hollow copies.
+    pub tool_core_percent: Option<f64>,
+    /// Resident memory of the tool itself at the end of the load, in megabytes.
+    pub tool_memory_mb: Option<f64>,
     /// Changes of lists that were made.
     pub list_changes: u64,
+    /// Copies that had not been told the latest version of their list at the end.
+    pub lists_behind: Option<usize>,
     /// From a list change to its arrival at a copy.
     pub told_s: Option<Delay>,
     /// From a list change to when a copy decides by it.
@@ -167,6 +191,8 @@
             added_latency_us: AddedLatency::of(one_hop, direct),
             one_hop_latency_us: one_hop,
             direct_latency_us: direct,
+            client_lag_us: Latency::of(&measured.client_lag_us),
+            client_unsent: measured.client_unsent,
             depth_latency_us: by_depth(&measured.by_hops_us),
             hollow_depth_latency_us: by_depth(&calls.hollow_us),
             attempts_per_call: attempts(measured, Carrier::Real),
@@ -182,10 +208,15 @@
             control_core_percent: core.filter(|_| idle),
             balancer_core_percent: core,
             hollow_core_percent: hollow_core.is_finite().then_some(hollow_core),
+            hollow_behind_ms: run.hollow_end.map(|end| end.behind.as_secs_f64() * MS_PER_S),
+            hollow_open_calls: run.hollow_end.map(|end| end.open_calls),
             memory_mb: look(|usage| usage.memory_mb),
             descriptors: look(|usage| usage.descriptors as f64),
             wakeups_per_s: look(|usage| usage.wakeups_per_s),
-            list_changes: run.list_changes,
+            tool_core_percent: run.tool.map(|usage| usage.core_percent),
+            tool_memory_mb: run.tool.map(|usage| usage.memory_mb),
+            list_changes: measured.list_changes,
+            lists_behind: run.lists_behind,
             told_s: Delay::of(&measured.told_us),
             in_force_s: Delay::of(&measured.in_force_us),
             settings_in_force_s: SettingsInForce {
--- /dev/null
+++ b/scale/src/run/fleet.rs
@@ -0,0 +1,209 @@
+//! The parts of a running fleet: started together, ended together.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+use tokio::sync::Mutex;
+use tokio::task::{JoinSet, spawn_blocking};
+use tokio::time::sleep;
+
+use super::RunError;
+use super::lists::Lists;
+use crate::control::ControlPlane;
+use crate::hollow::{HollowEnd, HollowFleet};
+use crate::node::server::NodeServers;
+use crate::process::{BalancerProcess, ProcessError, configuration};
+use crate::record::{ControlUsage, Record};
+use crate::scenario::Scenario;
+use crate::topology::{Carrier, CopyId, NodeId, ServiceId, Topology};
+
+/// Wait between two looks at whether the hollow copies are ready.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A real balancer. Its lock is held while a fault of the scenario kills it and starts it again.
+#[derive(Debug, Clone)]
+pub struct Balancer {
+    /// Its copy.
+    pub copy: CopyId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its process.
+    pub process: Arc<Mutex<BalancerProcess>>,
+}
+
+/// Everything that runs.
+pub struct Fleet {
+    /// The control plane.
+    pub control: Arc<ControlPlane>,
+    /// Nodes with sockets.
+    pub nodes: Arc<NodeServers>,
+    /// Real balancers.
+    pub balancers: Vec<Balancer>,
+    /// Hollow copies, if there are any.
+    pub hollow: Option<HollowFleet>,
+    /// What control was told.
+    pub lists: Lists,
+    topology: Arc<Topology>,
+    /// The balancers' files.
+    _directory: TempDir,
+}
+
+impl Fleet {
+    /// Starts all parts; what was started ends if one of them cannot.
+    pub async fn start(
+        scenario: &Arc<Scenario>,
+        topology: &Arc<Topology>,
+        record: &Arc<Record>,
+        program: &Path,
+    ) -> Result<Self, RunError> {
+        let directory = TempDir::with_prefix("stilelead-scale-").map_err(RunError::Directory)?;
+        let control = ControlPlane::start(scenario, topology, record.clone()).await?;
+        let nodes = NodeServers::start(scenario, topology, record.clone()).await?;
+        let padding = scenario.control.padding_entries;
+        let address = |node| is_real(topology, node).then(|| nodes.address(node));
+        let lists = Lists::publish(&control, record, topology, padding, address);
+        let balancers = start_balancers(scenario, topology, &control, program, directory.path()).await?;
+        for balancer in &balancers {
+            nodes.set_balancer(balancer.copy, balancer.address);
+        }
+        let hollow = start_hollow(scenario, topology, &control, record).await?;
+        Ok(Self {
+            control,
+            nodes,
+            balancers,
+            hollow,
+            lists,
+            topology: topology.clone(),
+            _directory: directory,
+        })
+    }
+
+    /// Waits until every copy is ready.
+    pub async fn ready(&self, within: Duration) -> Result<(), RunError> {
+        let start = Instant::now();
+        for balancer in &self.balancers {
+            let left = within.saturating_sub(start.elapsed());
+            balancer.process.lock().await.ready(left).await?;
+        }
+        let Some(hollow) = &self.hollow else { return Ok(()) };
+        let of = self.topology.copies.len() - self.balancers.len();
+        loop {
+            let ready = hollow.ready();
+            if ready >= of {
+                return Ok(());
+            }
+            if start.elapsed() >= within {
+                return Err(RunError::NotReady { ready, of, within_s: within.as_secs_f64() });
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// What control carried for each copy so far.
+    pub fn control_usage(&self) -> Vec<ControlUsage> {
+        (0..self.topology.copies.len()).map(|copy| self.control.usage(CopyId(copy))).collect()
+    }
+
+    /// Copies that were not told the latest version of their list.
+    pub fn lists_behind(&self) -> usize {
+        let versions: Vec<u64> = (0..self.topology.services.len())
+            .map(|service| self.control.list(ServiceId(service)).index)
+            .collect();
+        let copies = self.topology.copies.iter().enumerate();
+        copies.filter(|(number, copy)| self.control.told(CopyId(*number)) < versions[copy.target.0]).count()
+    }
+
+    /// Where the real balancers listen.
+    pub fn balancer_addresses(&self) -> Vec<SocketAddr> {
+        self.balancers.iter().map(|balancer| balancer.address).collect()
+    }
+
+    /// Where the nodes of the first real service listen.
+    pub fn direct_addresses(&self) -> Vec<SocketAddr> {
+        let first = self.topology.services.iter().find(|service| service.carrier == Carrier::Real);
+        let nodes = first.map(|service| service.nodes.as_slice()).unwrap_or_default();
+        nodes.iter().map(|node| self.nodes.address(*node)).collect()
+    }
+
+    /// Whether a node has sockets.
+    pub fn is_real(&self, node: NodeId) -> bool {
+        is_real(&self.topology, node)
+    }
+
+    /// Ends all parts; tells what the hollow copies had left.
+    ///
+    /// # Errors
+    /// The hollow copies had ended before.
+    pub async fn end(self) -> Result<Option<HollowEnd>, RunError> {
+        for balancer in self.balancers {
+            balancer.process.lock().await.end().await;
+        }
+        let Some(hollow) = self.hollow else { return Ok(None) };
+        Ok(Some(spawn_blocking(move || hollow.stop()).await??))
+    }
+}
+
+fn is_real(topology: &Topology, node: NodeId) -> bool {
+    topology.services[topology.nodes[node.0].service.0].carrier == Carrier::Real
+}
+
+/// Starts the hollow copies, which takes a while, on a thread that may wait.
+async fn start_hollow(
+    scenario: &Arc<Scenario>,
+    topology: &Arc<Topology>,
+    control: &Arc<ControlPlane>,
+    record: &Arc<Record>,
+) -> Result<Option<HollowFleet>, RunError> {
+    if scenario.fleet.hollow == 0 {
+        return Ok(None);
+    }
+    let (scenario, topology) = (scenario.clone(), topology.clone());
+    let (control, record) = (control.clone(), record.clone());
+    let start = move || HollowFleet::start(&scenario, &topology, &control, record, scenario.seed);
+    Ok(Some(spawn_blocking(start).await??))
+}
+
+async fn start_balancers(
+    scenario: &Arc<Scenario>,
+    topology: &Arc<Topology>,
+    control: &Arc<ControlPlane>,
+    program: &Path,
+    directory: &Path,
+) -> Result<Vec<Balancer>, RunError> {
+    let mut starting = JoinSet::new();
+    for (number, copy) in topology.copies.iter().enumerate() {
+        if copy.carrier == Carrier::Real {
+            let (scenario, topology, control) = (scenario.clone(), topology.clone(), control.clone());
+            let (program, directory) = (program.to_owned(), directory.to_owned());
+            let copy = CopyId(number);
+            starting.spawn(async move {
+                start_balancer(&scenario, &topology, &control, copy, &program, &directory).await
+            });
+        }
+    }
+    let mut balancers = Vec::new();
+    while let Some(started) = starting.join_next().await {
+        balancers.push(started??);
+    }
+    balancers.sort_by_key(|balancer| balancer.copy);
+    Ok(balancers)
+}
+
+async fn start_balancer(
+    scenario: &Scenario,
+    topology: &Topology,
+    control: &ControlPlane,
+    copy: CopyId,
+    program: &Path,
+    directory: &Path,
+) -> Result<Balancer, ProcessError> {
+    let known = control.list(topology.copies[copy.0].target);
+    let discovery = control.address(copy);
+    let text = |listen| configuration(scenario, topology, copy, listen, discovery, &known, None);
+    let name = &topology.copies[copy.0].name;
+    let process = BalancerProcess::start_anywhere(program, directory, name, text).await?;
+    Ok(Balancer { copy, address: process.address(), process: Arc::new(Mutex::new(process)) })
+}
--- /dev/null
+++ b/scale/src/run/perform.rs
@@ -0,0 +1,122 @@
+//! Carries out the steps of the plan on the running fleet.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use tokio::task::JoinSet;
+use tracing::info;
+
+use super::RunError;
+use super::fleet::Fleet;
+use super::settings::Settings;
+use crate::plan::Action;
+use crate::record::Record;
+use crate::scenario::Scenario;
+use crate::topology::{CopyId, NodeId, Topology};
+
+/// Carries out actions; those that take time go on beside the next ones.
+pub struct Performer<'a> {
+    fleet: &'a Fleet,
+    settings: Settings<'a>,
+    work: JoinSet<Result<(), RunError>>,
+}
+
+impl<'a> Performer<'a> {
+    /// For a fleet; settings that are not in force at `until` never were.
+    pub fn new(
+        fleet: &'a Fleet,
+        scenario: &'a Scenario,
+        topology: &'a Topology,
+        record: &'a Arc<Record>,
+        until: Instant,
+    ) -> Self {
+        Self { fleet, settings: Settings::new(scenario, topology, record, until), work: JoinSet::new() }
+    }
+
+    /// Does what a step says.
+    pub fn perform(&mut self, action: Action) {
+        let fleet = self.fleet;
+        if !matches!(action, Action::Weight(..) | Action::Padding(..)) {
+            info!(?action, "step");
+        }
+        match action {
+            Action::Publish(node, status) => fleet.lists.set_status(node, status),
+            Action::Weight(node, weight) => fleet.lists.set_weight(node, weight),
+            Action::Padding(service, place, weight) => fleet.lists.set_padding(service, place, weight),
+            Action::Silence(node, silent) => self.silence(node, silent),
+            Action::Stop(node) => self.stop(node),
+            Action::Restart(node) => self.restart(node),
+            Action::CutRegion(region) => {
+                fleet.control.cut_region(region);
+                self.cut_hollow(true);
+            }
+            Action::RejoinRegion(region) => {
+                fleet.control.rejoin_region(region);
+                self.cut_hollow(false);
+            }
+            Action::StopReplica(replica) => fleet.control.stop_replica(replica),
+            Action::StartReplica(replica) => self.start_replica(replica),
+            Action::BreakWatches => fleet.control.break_watches(),
+            Action::KillBalancer(copy) => self.kill_balancer(copy),
+            Action::NewSettings => self.settings.hand_out(fleet, &mut self.work),
+        }
+    }
+
+    /// Waits for what still goes on.
+    pub async fn finish(mut self) -> Result<(), RunError> {
+        while let Some(done) = self.work.join_next().await {
+            done??;
+        }
+        Ok(())
+    }
+
+    fn silence(&self, node: NodeId, silent: bool) {
+        if self.fleet.is_real(node) {
+            self.fleet.nodes.silence(node, silent);
+        } else if let Some(hollow) = &self.fleet.hollow {
+            hollow.silence(node, silent);
+        }
+    }
+
+    /// A modelled node that has stopped is silent: it was drained before.
+    fn stop(&self, node: NodeId) {
+        if self.fleet.is_real(node) {
+            self.fleet.nodes.stop(node);
+        } else {
+            self.silence(node, true);
+        }
+    }
+
+    fn restart(&mut self, node: NodeId) {
+        if self.fleet.is_real(node) {
+            let nodes = self.fleet.nodes.clone();
+            self.work.spawn(async move {
+                nodes.restart(node).await;
+                Ok(())
+            });
+        } else if let Some(hollow) = &self.fleet.hollow {
+            hollow.restart(node);
+            hollow.silence(node, false);
+        }
+    }
+
+    fn cut_hollow(&self, cut: bool) {
+        if let Some(hollow) = &self.fleet.hollow {
+            hollow.cut_regions(cut);
+        }
+    }
+
+    fn start_replica(&mut self, replica: u32) {
+        let control = self.fleet.control.clone();
+        self.work.spawn(async move {
+            control.start_replica(replica).await;
+            Ok(())
+        });
+    }
+
+    fn kill_balancer(&mut self, copy: CopyId) {
+        let balancer = self.fleet.balancers.iter().find(|balancer| balancer.copy == copy);
+        let Some(process) = balancer.map(|balancer| balancer.process.clone()) else { return };
+        self.work.spawn(async move { Ok(process.lock().await.kill_and_restart().await?) });
+    }
+}
--- a/scale/src/table.rs
+++ b/scale/src/table.rs
@@ -91,6 +91,7 @@
         table.row(std::iter::once("added, one hop".to_owned()).chain(added));
     }
     latency(table, "straight", report.direct_latency_us);
+    latency(table, "client's lag", report.client_lag_us);
     for (hops, figures) in &report.depth_latency_us {
         latency(table, &format!("real, {hops} deep"), *figures);
     }
@@ -132,7 +133,11 @@
         table.row(std::iter::once(name.to_owned()).chain(cells));
     }
     if let Some(core) = report.hollow_core_percent {
-        table.row(["hollow copy, core".to_owned(), format!("{core:.3} %")]);
+        let behind = report.hollow_behind_ms.map(|ms| format!("late by {ms:.1} ms at most"));
+        table.row(["hollow copy, core".to_owned(), format!("{core:.3} %")].into_iter().chain(behind));
+    }
+    if let (Some(core), Some(memory)) = (report.tool_core_percent, report.tool_memory_mb) {
+        table.row(["the tool itself".to_owned(), format!("{core:.0} %"), format!("{memory:.0} MB")]);
     }
     let turned_away = format!("{} turned away", report.control_turned_away);
     table.row(["calls to control".to_owned(), report.control_calls.to_string(), turned_away]);
@@ -140,7 +145,9 @@
 
 fn delays(table: &mut Table, report: &Report) {
     table.row(["changes", "p50", "p99", "max", "copies"]);
-    table.row(["lists changed".to_owned(), report.list_changes.to_string()]);
+    let behind = report.lists_behind.map(|copies| format!("{copies} copies behind at the end"));
+    let changed = ["lists changed".to_owned(), report.list_changes.to_string()];
+    table.row(changed.into_iter().chain(behind));
     delay(table, "list told", report.told_s);
     delay(table, "list in force", report.in_force_s);
     let settings = report.settings_in_force_s;
--- a/scale/tests/report.rs
+++ b/scale/tests/report.rs
@@ -32,7 +32,9 @@
         played_s: 10.0,
         faults: Vec::new(),
         control: Vec::new(),
-        list_changes: 0,
+        lists_behind: None,
+        hollow_end: None,
+        tool: None,
         ended_early: None,
     }
 }
