Add the commands run and slopes

run plays a scenario and slopes measures five costs at four sizes each, with a line fitted to them; both print a table, write the report in JSON and exit with 1 when partial.

--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -1,18 +1,30 @@
 //! The command line: arguments, logs and exit codes.
 
-use std::path::PathBuf;
+use std::fs;
+use std::io::{self, IsTerminal, Write};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use serde::Serialize;
+use tokio::runtime::Builder;
 use tracing::{error, info};
 use tracing_subscriber::EnvFilter;
 
+use crate::interrupt::Interrupt;
+use crate::process::{ProcessError, find_program};
+use crate::run::{Options, run};
+
 use crate::scenario::Scenario;
 use crate::scenario::load::{ScenarioError, check_machine, load};
 use crate::scenario::machine::{Machine, MachineError};
+use crate::slopes::{self, SlopeKind, SlopeScenarioError};
+use crate::table::{self, Table};
 
 /// The run is whole.
 const WHOLE: u8 = 0;
+/// The run is partial or failed.
+const PARTIAL: u8 = 1;
 /// A scenario or an argument makes no sense; clap ends with the same code.
 const NO_SENSE: u8 = 2;
 
@@ -38,6 +50,29 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs a scenario and prints its figures.
+    Run {
+        #[command(flatten)]
+        source: Source,
+        /// Seed of all chance, before the scenario's.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// File to which the report is written, in JSON.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Measures what one more of something costs, each at four sizes or more, and fits a line.
+    Slopes {
+        /// Measures this one only; may be given several times.
+        #[arg(long, value_enum)]
+        only: Vec<SlopeKind>,
+        /// Seed of all chance.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// File to which the report is written, in JSON.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
     /// Says whether a scenario makes sense and this machine can carry it, and starts nothing.
     Check {
         #[command(flatten)]
@@ -55,17 +90,40 @@
     overrides: Vec<String>,
 }
 
-/// Why nothing was started.
+/// Why nothing was run, or what was run is not told.
 #[derive(Debug, thiserror::Error)]
-enum StartError {
+enum CommandError {
     #[error(transparent)]
     Scenario(#[from] ScenarioError),
     #[error(transparent)]
     Machine(#[from] MachineError),
+    #[error(transparent)]
+    Slope(#[from] SlopeScenarioError),
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    #[error("the runtime does not start: {0}")]
+    Runtime(#[source] io::Error),
+    #[error("--report {}: cannot be written: {cause}", file.display())]
+    Report { file: PathBuf, cause: io::Error },
+    #[error("{}: cannot be written: {cause}", file.display())]
+    Write { file: PathBuf, cause: io::Error },
+    #[error("standard output cannot be written: {0}")]
+    Output(#[source] io::Error),
+    #[error("the report cannot be put into JSON: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+impl CommandError {
+    fn code(&self) -> u8 {
+        match self {
+            Self::Scenario(_) | Self::Slope(_) | Self::Report { .. } => NO_SENSE,
+            _ => PARTIAL,
+        }
+    }
 }
 
 impl Source {
-    fn load(&self) -> Result<Scenario, StartError> {
+    fn load(&self) -> Result<Scenario, CommandError> {
         let scenario = load(&self.scenario, &self.overrides)?;
         check_machine(&self.scenario, &scenario, &Machine::look()?)?;
         Ok(scenario)
@@ -78,22 +136,88 @@
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
     start_logs(cli.log_format);
-    let code = match cli.command {
-        Command::Check { source } => source.load().map(|scenario| {
-            info!(scenario = scenario.name, "makes sense");
-            WHOLE
-        }),
-    };
+    let code = cli.command.execute();
     ExitCode::from(code.unwrap_or_else(|error| {
         error!("{error}");
-        NO_SENSE
+        error.code()
     }))
 }
 
+impl Command {
+    fn execute(self) -> Result<u8, CommandError> {
+        match self {
+            Self::Check { source } => {
+                let scenario = source.load()?;
+                info!(scenario = scenario.name, "makes sense");
+                Ok(WHOLE)
+            }
+            Self::Run { source, seed, report } => {
+                let mut scenario = source.load()?;
+                scenario.seed = seed.unwrap_or(scenario.seed);
+                run_scenario(&scenario, report.as_deref())
+            }
+            Self::Slopes { only, seed, report } => {
+                let kinds = if only.is_empty() { SlopeKind::value_variants().to_vec() } else { only };
+                run_slopes(&kinds, seed, report.as_deref())
+            }
+        }
+    }
+}
+
+fn run_scenario(scenario: &Scenario, file: Option<&Path>) -> Result<u8, CommandError> {
+    open_report(file)?;
+    let options = Options { program: find_program()?, progress: true };
+    let report = block_on(async {
+        let interrupt = Interrupt::on_signals().map_err(CommandError::Runtime)?;
+        Ok(run(scenario, &options, interrupt.interrupted()).await)
+    })?;
+    finish(&table::of_report(&report), &report, file)?;
+    Ok(if report.partial { PARTIAL } else { WHOLE })
+}
+
+fn run_slopes(kinds: &[SlopeKind], seed: u64, file: Option<&Path>) -> Result<u8, CommandError> {
+    open_report(file)?;
+    let options = Options { program: find_program()?, progress: true };
+    let report = block_on(async {
+        let interrupt = Interrupt::on_signals().map_err(CommandError::Runtime)?;
+        Ok(slopes::measure(kinds, seed, &options, &interrupt).await?)
+    })?;
+    finish(&slopes::table(&report), &report, file)?;
+    Ok(if report.partial { PARTIAL } else { WHOLE })
+}
+
+/// Makes sure that the report can be written before anything is run for it.
+fn open_report(file: Option<&Path>) -> Result<(), CommandError> {
+    let Some(file) = file else { return Ok(()) };
+    let opened = fs::OpenOptions::new().create(true).append(true).open(file);
+    opened.map(drop).map_err(|cause| CommandError::Report { file: file.into(), cause })
+}
+
+fn block_on<T>(work: impl Future<Output = Result<T, CommandError>>) -> Result<T, CommandError> {
+    let runtime = Builder::new_multi_thread().enable_all().build().map_err(CommandError::Runtime)?;
+    let done = runtime.block_on(work);
+    runtime.shutdown_background();
+    done
+}
+
+/// Prints the table and writes the report. Both are tried, whatever becomes of the other.
+fn finish(table: &Table, report: &impl Serialize, file: Option<&Path>) -> Result<(), CommandError> {
+    let printed = write!(io::stdout(), "{table}").map_err(CommandError::Output);
+    if let Some(file) = file {
+        let mut text = serde_json::to_vec_pretty(report)?;
+        text.push(b'\n');
+        fs::write(file, text).map_err(|cause| CommandError::Write { file: file.into(), cause })?;
+    }
+    printed
+}
+
 fn start_logs(format: LogFormat) {
     let level = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    let logs =
-        tracing_subscriber::fmt().with_env_filter(level).with_writer(std::io::stderr).with_target(false);
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(level)
+        .with_ansi(io::stderr().is_terminal())
+        .with_writer(io::stderr)
+        .with_target(false);
     match format {
         LogFormat::Text => logs.init(),
         LogFormat::Json => logs.json().init(),
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod slopes;
 pub mod table;
 pub mod topology;
--- /dev/null
+++ b/scale/src/slopes/kinds.rs
@@ -0,0 +1,238 @@
+//! The slopes that are measured: sizes, scenarios and figures.
+
+use clap::ValueEnum;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::fit::Point;
+use crate::report::{Latency, Report};
+use crate::scenario::Scenario;
+use crate::scenario::load::{ScenarioError, check_machine, parse};
+use crate::scenario::machine::{Machine, MachineError};
+
+/// A slope.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum SlopeKind {
+    /// Hollow copies, with lists of the same length.
+    Copies,
+    /// Entries of the list of one idle real balancer.
+    ListEntries,
+    /// Changes a second of the list of one idle real balancer.
+    Changes,
+    /// Calls a second through one real balancer.
+    Calls,
+    /// Hops of calls through a ring of real balancers.
+    Depth,
+}
+
+/// What the sizes of a slope count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Axis {
+    /// Several of it.
+    pub name: &'static str,
+    /// One of it.
+    pub one: &'static str,
+}
+
+/// A figure that is taken from the report of each run.
+pub(super) struct Figure {
+    pub(super) name: &'static str,
+    pub(super) unit: &'static str,
+    /// The points that a run of a size gives.
+    pub(super) measure: fn(&Report, f64) -> Vec<Point>,
+}
+
+/// The scenario of a slope at one size.
+#[derive(Debug, Clone)]
+pub struct SizedScenario {
+    /// The size.
+    pub size: f64,
+    /// The scenario.
+    pub scenario: Scenario,
+}
+
+/// Why a slope cannot be measured.
+#[derive(Debug, Error)]
+pub enum SlopeScenarioError {
+    /// Its scenario makes no sense, or this machine cannot carry it.
+    #[error(transparent)]
+    Scenario(#[from] ScenarioError),
+    /// The machine's limits cannot be told.
+    #[error(transparent)]
+    Machine(#[from] MachineError),
+}
+
+/// Microseconds of processor time in a second of a percent of a core.
+const US_PER_PERCENT: f64 = 10_000.0;
+/// Kilobytes in a megabyte.
+const KB_PER_MB: f64 = 1024.0;
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+/// Copies and nodes of each service where the number of copies changes.
+const COPIES_OF_SERVICE: u32 = 20;
+
+const COPIES: &str = include_str!("copies.toml");
+const LIST_ENTRIES: &str = include_str!("list-entries.toml");
+const CHANGES: &str = include_str!("changes.toml");
+const CALLS: &str = include_str!("calls.toml");
+const DEPTH: &str = include_str!("depth.toml");
+
+impl SlopeKind {
+    /// Its name.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Copies => "copies",
+            Self::ListEntries => "list-entries",
+            Self::Changes => "changes",
+            Self::Calls => "calls",
+            Self::Depth => "depth",
+        }
+    }
+
+    /// What its sizes count.
+    pub(super) fn axis(self) -> Axis {
+        match self {
+            Self::Copies => Axis { name: "copies", one: "copy" },
+            Self::ListEntries => Axis { name: "entries of the list", one: "entry" },
+            Self::Changes => Axis { name: "changes a second", one: "change a second" },
+            Self::Calls => Axis { name: "calls a second", one: "call a second" },
+            Self::Depth => Axis { name: "hops", one: "hop" },
+        }
+    }
+
+    /// Its scenarios, one for each size; depths are all played in one.
+    ///
+    /// # Errors
+    /// One makes no sense, or this machine cannot carry it.
+    pub fn scenarios(self, seed: u64) -> Result<Vec<SizedScenario>, SlopeScenarioError> {
+        let machine = Machine::look()?;
+        let mut scenarios = Vec::new();
+        for size in self.sizes() {
+            let file = format!("slope {}", self.name());
+            let mut changes = self.changes(*size);
+            changes.push(format!("seed={seed}"));
+            let scenario = parse(file.as_ref(), self.text(), &changes)?;
+            check_machine(file.as_ref(), &scenario, &machine)?;
+            scenarios.push(SizedScenario { size: f64::from(*size), scenario });
+        }
+        Ok(scenarios)
+    }
+
+    fn sizes(self) -> &'static [u32] {
+        match self {
+            Self::Copies => &[100, 200, 400, 600],
+            Self::ListEntries => &[100, 500, 1500, 4000],
+            Self::Changes => &[2, 10, 30, 100],
+            Self::Calls => &[54, 500, 1000, 2000],
+            Self::Depth => &[27],
+        }
+    }
+
+    fn text(self) -> &'static str {
+        match self {
+            Self::Copies => COPIES,
+            Self::ListEntries => LIST_ENTRIES,
+            Self::Changes => CHANGES,
+            Self::Calls => CALLS,
+            Self::Depth => DEPTH,
+        }
+    }
+
+    fn changes(self, size: u32) -> Vec<String> {
+        match self {
+            Self::Copies => {
+                let services = size / COPIES_OF_SERVICE;
+                vec![format!("fleet.hollow={size}"), format!("fleet.services={services}")]
+            }
+            Self::ListEntries => vec![format!("control.padding_entries={size}")],
+            Self::Changes => vec![format!("changes.lists_per_s={size}")],
+            Self::Calls => vec![format!("load.real_calls_per_s={size}")],
+            Self::Depth => Vec::new(),
+        }
+    }
+
+    pub(super) fn figures(self) -> &'static [Figure] {
+        match self {
+            Self::Copies => &[
+                Figure { name: "processor time of all copies", unit: "% of a core", measure: hollow_core },
+                Figure { name: "memory of the tool", unit: "KB", measure: tool_memory },
+                Figure { name: "change told, p50", unit: "ms", measure: told_p50 },
+                Figure { name: "change told, max", unit: "ms", measure: told_max },
+            ],
+            Self::ListEntries => &[CORE, MEMORY],
+            Self::Changes => &[CORE, MEMORY, BYTES],
+            Self::Calls => &[
+                Figure { name: "processor time", unit: "us a second", measure: core_us },
+                Figure { name: "latency added, p50", unit: "us", measure: added_p50 },
+                Figure { name: "latency added, p99", unit: "us", measure: added_p99 },
+            ],
+            Self::Depth => &[
+                Figure { name: "latency, p50", unit: "us", measure: depth_p50 },
+                Figure { name: "latency, p99", unit: "us", measure: depth_p99 },
+            ],
+        }
+    }
+}
+
+const CORE: Figure = Figure { name: "processor time", unit: "% of a core", measure: idle_core };
+const MEMORY: Figure = Figure { name: "memory", unit: "KB", measure: memory };
+const BYTES: Figure = Figure { name: "bytes from control", unit: "B/s", measure: bytes };
+
+fn at(size: f64, value: Option<f64>) -> Vec<Point> {
+    value.into_iter().map(|y| Point { x: size, y }).collect()
+}
+
+fn hollow_core(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.hollow_core_percent.map(|percent| percent * size))
+}
+
+fn tool_memory(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.tool_memory_mb.map(|memory| memory * KB_PER_MB))
+}
+
+fn told_p50(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.told_s.map(|told| told.p50 * MS_PER_S))
+}
+
+fn told_max(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.told_s.map(|told| told.max * MS_PER_S))
+}
+
+fn idle_core(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.control_core_percent.map(|percent| percent.mean))
+}
+
+fn memory(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.memory_mb.map(|memory| memory.mean * KB_PER_MB))
+}
+
+fn bytes(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.control_bytes_per_s.map(|bytes| bytes.mean))
+}
+
+fn core_us(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.balancer_core_percent.map(|percent| percent.mean * US_PER_PERCENT))
+}
+
+fn added_p50(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.added_latency_us.map(|added| added.p50 as f64))
+}
+
+fn added_p99(report: &Report, size: f64) -> Vec<Point> {
+    at(size, report.added_latency_us.map(|added| added.p99 as f64))
+}
+
+fn depth_p50(report: &Report, _: f64) -> Vec<Point> {
+    by_depth(report, |latency| latency.p50)
+}
+
+fn depth_p99(report: &Report, _: f64) -> Vec<Point> {
+    by_depth(report, |latency| latency.p99)
+}
+
+fn by_depth(report: &Report, value: fn(&Latency) -> u64) -> Vec<Point> {
+    let played = report.depth_latency_us.iter().filter_map(|(hops, latency)| Some((hops, latency.as_ref()?)));
+    played.map(|(hops, latency)| Point { x: f64::from(*hops), y: value(latency) as f64 }).collect()
+}
