Refuse an answer that names several transfer codings

Cause: read() in upstream.rs looked at the first Transfer-Encoding header, hyper at the last: "chunked" and then "gzip" in two lines passed for chunked, was read to the end of the connection and served with its coding on. Change: several such headers are a doubt, and the answer is spoilt (may have run). Tests: four more forms in a_break_after_the_last_byte_may_have_run, which ends in order each; the first of them got 200 before the change, the other three were refused already.

--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -449,12 +449,15 @@
     // A 503 without the mark, an upstream's own or of a tier behind it, may have run.
     let not_run = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
         && head.headers.get("x-not-run").is_some_and(|value| value.as_bytes() == b"1");
-    let ends = match head.headers.get(TRANSFER_ENCODING) {
-        Some(coding) => {
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    let ends = match (codings.next(), codings.next()) {
+        // Without a length it ends with its connection, if that ends in order: a reset is an error of the body.
+        (None, _) => true,
+        (Some(coding), None) => {
             coding.as_bytes().eq_ignore_ascii_case(b"chunked") && !head.headers.contains_key(CONTENT_LENGTH)
         }
-        // Without a length it ends with its connection, if that ends in order: a reset is an error of the body.
-        None => true,
+        // Of several only the last would be looked at.
+        (Some(_), Some(_)) => false,
     };
     if !ends || body.size_hint().lower() > BODY_MOST as u64 {
         return None;
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -88,6 +88,10 @@
         "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: x\r\n\r\n",
         // Nothing says that these are whole.
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n\r\nabcde",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
     ] {
