Ask discovery again within what counts as told, however long settings let a copy wait

Cause: between failed calls the module waits up to 0.4 of askWithinS; on sockets a change counts as told 6 s after discovery can be reached, whatever call failed. With askWithinS 60 no call was made for 23.8 s. Change: the driver passes on 10 s at most.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -34,6 +34,11 @@
 /// Descriptors that upstream connections leave to clients.
 const CLIENTS_PART: usize = 4;
 
+/// The longest time without asking that is passed on from the settings. Over HTTP whatever discovery has counts as told
+/// 6 s after it can be reached, whatever call failed; of 10 s the module leaves 4 s between calls, and an answer takes
+/// time too.
+const ASK_WITHIN_MOST: Duration = Duration::from_secs(10);
+
 /// A socket counted against the budget for as long as it lives.
 #[derive(Debug)]
 pub struct Permit(Rc<Cell<usize>>);
@@ -171,6 +176,7 @@
             settings.discovery = DiscoveryMode::Subscribe;
             settings.rules.ask_within = None;
         }
+        settings.rules.ask_within = settings.rules.ask_within.map(|span| span.min(ASK_WITHIN_MOST));
         let core = Core {
             balancer: Balancer::new(settings, config.seed)?,
             events: VecDeque::new(),
--- a/dahliahead/src/driver/tests.rs
+++ b/dahliahead/src/driver/tests.rs
@@ -1,5 +1,9 @@
 //! What the driver keeps beside the decisions.
 
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
 use super::*;
 use crate::config::tests::CONFIGURATION;
 
@@ -37,3 +41,93 @@
         assert_eq!((core.ids.len(), core.ids["s-0"]), (2, first));
     });
 }
+
+/// What discovery makes of a call.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    /// Nothing listens.
+    Down,
+    Reset,
+    /// Answers 503.
+    Crowded,
+    /// Takes the call and says nothing.
+    Silent,
+    /// Opens a watch that ends before its first word.
+    Ended,
+    /// Opens a watch that falls silent after its first word.
+    FallsSilent,
+}
+
+impl Trouble {
+    const ALL: [Self; 6] =
+        [Self::Down, Self::Reset, Self::Crowded, Self::Silent, Self::Ended, Self::FallsSilent];
+
+    async fn meet(self, mut stream: TcpStream) {
+        let _ = stream.read(&mut [0; 1024]).await;
+        let watch = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        match self {
+            Self::Down | Self::Reset => SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set"),
+            Self::Crowded => {
+                let _ = stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await;
+            }
+            Self::Ended => {
+                let _ = stream.write_all(watch).await;
+            }
+            Self::FallsSilent => {
+                let _ = stream.write_all(&[&watch[..], b"1\r\n\n\r\n"].concat()).await;
+                std::future::pending().await
+            }
+            Self::Silent => std::future::pending().await,
+        }
+    }
+}
+
+/// Guards what is told while calls to discovery fail: it counts 6 s after discovery can be reached, whatever call failed
+/// and however long the settings let a copy go without asking. So the next call begins early enough to be answered
+/// within that, be the last one refused, reset, turned away, silent or ended, and a
+/// watch that falls silent is opened anew as early. The clock is the test's.
+#[test]
+fn a_failed_call_to_discovery_is_made_again_within_what_counts_as_told() {
+    const TOLD: Duration = Duration::from_secs(6);
+    const ANSWER: Duration = Duration::from_millis(1500);
+    let settings = [
+        r#""discovery": "automatic""#,
+        r#""discovery": "subscribe", "rules": {"askWithinS": 10.0,"#,
+        r#""discovery": "subscribe", "rules": {"askWithinS": 60.0,"#,
+    ];
+    for (trouble, settings) in
+        Trouble::ALL.into_iter().flat_map(|trouble| settings.map(|text| (trouble, text)))
+    {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        tokio::task::LocalSet::new().block_on(&runtime.expect("starts"), async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            if matches!(trouble, Trouble::Down) {
+                drop(listener);
+            } else {
+                spawn_local(async move {
+                    while let Ok((stream, _)) = listener.accept().await {
+                        spawn_local(trouble.meet(stream));
+                    }
+                });
+            }
+            let (mode, rules) = settings.split_once(", ").unwrap_or((settings, r#""rules": {"#));
+            let text = CONFIGURATION
+                .replace("127.0.0.1:1\"", &format!("{address}\""))
+                .replace(r#""discovery": "automatic""#, mode)
+                .replace(r#""rules": {"#, rules);
+            let driver = Driver::start(Config::parse(&text, |_| None).expect("sound")).expect("starts");
+            let calls = || driver.core.borrow().watch_number;
+            let (start, mut called, mut longest) = (Instant::now(), Instant::now(), Duration::ZERO);
+            let mut seen = calls();
+            while start.elapsed() < Duration::from_secs(300) {
+                sleep(Duration::from_millis(10)).await;
+                if calls() > seen {
+                    (seen, called) = (calls(), Instant::now());
+                }
+                longest = longest.max(called.elapsed());
+            }
+            assert!(longest + ANSWER <= TOLD, "{trouble:?}, {settings}: no call for {longest:?}");
+        });
+    }
+}
