Test that what a client sent ahead is not sent on once it has left

Cause: no attempt may begin more than 0.1 s after its client closed. Tests held it for late connections, further attempts and resets; of requests that wait behind one that is out, only that the one out ends. Change: a test with three requests behind one that is out and a kept connection that would take them, closed and reset. Result: passes; with client_left() passing over those three it fails at once.

--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -510,6 +510,35 @@
     }
 }
 
+/// Guards against work for nobody behind a request that is out: what its client has sent ahead is not sent on once it has
+/// left, in order or by a reset, though a connection is kept that would take it at once.
+#[test]
+fn what_was_sent_ahead_is_not_sent_on_once_its_client_has_left() {
+    for resets in [false, true] {
+        let upstream =
+            Upstream::start(|_, message| if message.body == b"held" { Reply::Silence } else { ok("served") });
+        let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
+        let mut client = balancer.client();
+        client.send("order", "held");
+        upstream.wait_requests(1);
+        assert_eq!(balancer.client().ask("order", "first").status(), 200);
+        for _ in 0..3 {
+            client.send("order", "ahead");
+        }
+        balancer.catches_up();
+        if resets {
+            reset(client.0);
+        } else {
+            drop(client);
+        }
+        upstream.wait_closed(1);
+        balancer.catches_up();
+        assert_eq!(balancer.client().ask("order", "last").status(), 200);
+        let bodies: Vec<_> = upstream.requests().into_iter().map(|(_, request)| request.body).collect();
+        assert_eq!(bodies, [&b"held"[..], b"first", b"last"], "reset: {resets}");
+    }
+}
+
 /// Guards what is read ahead: a next request that comes early is answered after the first, whole, and one that
 /// is too long to be kept ends the connection with the first answer.
 #[test]
