--- a/dahliahead/src/subscription.rs
+++ b/dahliahead/src/subscription.rs
@@ -25,6 +25,12 @@
         Self { address, version: 0, number: WatchNumber(0), watch: None, old_watch: None }
     }
 
+    /// The watch that was asked for last.
+    #[must_use]
+    pub fn number(&self) -> WatchNumber {
+        self.number
+    }
+
     /// The next watch asks for what came after this version.
     pub fn resume_from(&mut self, version: u64) {
         self.version = version;
