--- a/dahliahead/src/in_force.rs
+++ b/dahliahead/src/in_force.rs
@@ -17,6 +17,11 @@
 /// Names of one list that may be given out in all, those no longer in use included: each holds memory until the end.
 const NAMES_MOST: usize = 4096;
 
+/// The longest time without asking that is passed on from the settings. Over HTTP whatever discovery has counts as told
+/// 6 s after it can be reached, whatever call failed; of 10 s the module leaves 4 s between calls, and an answer takes
+/// time too.
+const ASK_WITHIN_MOST: Duration = Duration::from_secs(10);
+
 type Positions = FxHashMap<String, usize>;
 
 /// All positions that were ever given out; the names of requests in flight keep theirs.
@@ -169,6 +174,7 @@
             settings.discovery = DiscoveryMode::Subscribe;
             settings.rules.ask_within = None;
         }
+        settings.rules.ask_within = settings.rules.ask_within.map(|span| span.min(ASK_WITHIN_MOST));
         settings
     }
 
--- /dev/null
+++ b/scale/src/process/balancer.rs
@@ -0,0 +1,271 @@
+//! One process of the balancer program: start, readiness, new configuration, kill and restart.
+
+use std::fs::{self, File, OpenOptions};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use super::error::ProcessError;
+use super::port::ReservedPort;
+use super::{health, log};
+
+/// A process accepts connections so long after its start at the latest.
+const LISTENS_WITHIN: Duration = Duration::from_secs(10);
+/// Wait between two looks at a process that is starting.
+const LOOK: Duration = Duration::from_millis(10);
+/// A process of the balancer program. It is killed and reaped when dropped.
+#[derive(Debug)]
+pub struct BalancerProcess {
+    launch: Launch,
+    child: Mutex<Child>,
+}
+
+/// What a process is started from; the same at each restart.
+#[derive(Debug)]
+struct Launch {
+    name: String,
+    program: PathBuf,
+    configuration: PathBuf,
+    log: PathBuf,
+    /// Held while the process is down, so that it can come back.
+    port: ReservedPort,
+}
+
+impl BalancerProcess {
+    /// Starts a process that listens at `listen` and returns once it accepts connections there.
+    ///
+    /// Its configuration and its log (`stderr.log`) lie in the folder `name` of `directory`.
+    ///
+    /// # Errors
+    /// The files cannot be written, the program cannot be run, the port is taken, or the process ends at once.
+    pub async fn start(
+        program: &Path,
+        directory: &Path,
+        name: &str,
+        configuration: &str,
+        listen: SocketAddr,
+    ) -> Result<Self, ProcessError> {
+        let port = ReservedPort::at(listen).map_err(|cause| no_port(name, listen, cause))?;
+        Self::start_on(port, program, directory, name, configuration).await
+    }
+
+    /// Starts a process at any free port; `configuration` is told the address. The rest is as in [`Self::start`].
+    ///
+    /// # Errors
+    /// As in [`Self::start`], or no port is free.
+    pub async fn start_anywhere(
+        program: &Path,
+        directory: &Path,
+        name: &str,
+        configuration: impl FnOnce(SocketAddr) -> String,
+    ) -> Result<Self, ProcessError> {
+        let port =
+            ReservedPort::any().map_err(|cause| ProcessError::NoPort { name: name.to_owned(), cause })?;
+        let configuration = configuration(port.address());
+        Self::start_on(port, program, directory, name, &configuration).await
+    }
+
+    async fn start_on(
+        port: ReservedPort,
+        program: &Path,
+        directory: &Path,
+        name: &str,
+        configuration: &str,
+    ) -> Result<Self, ProcessError> {
+        let folder = directory.join(name);
+        let launch = Launch {
+            name: name.to_owned(),
+            program: program.to_owned(),
+            configuration: folder.join("config.json"),
+            log: folder.join("stderr.log"),
+            port,
+        };
+        fs::create_dir_all(&folder).map_err(|cause| launch.file_error(&folder, cause))?;
+        launch.write(configuration)?;
+        let child = launch.spawn()?;
+        let process = Self { launch, child: Mutex::new(child) };
+        process.listens().await?;
+        Ok(process)
+    }
+
+    /// Waits until `/_health` answers 200.
+    ///
+    /// # Errors
+    /// The process ends, or is not ready `within` this time.
+    pub async fn ready(&self, within: Duration) -> Result<(), ProcessError> {
+        let start = Instant::now();
+        while !health::is_ready(self.launch.port.address()).await {
+            self.still_runs()?;
+            if start.elapsed() >= within {
+                return Err(self.late("ready", within));
+            }
+            sleep(LOOK).await;
+        }
+        self.still_runs()
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.launch.port.address()
+    }
+
+    /// The id of the process; another one after a restart.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child().id()
+    }
+
+    /// Its copy's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.launch.name
+    }
+
+    /// Replaces the configuration file as a whole and sends SIGHUP.
+    ///
+    /// # Errors
+    /// The file cannot be written, or the process has ended.
+    pub fn replace_configuration(&self, text: &str) -> Result<(), ProcessError> {
+        self.launch.write(text)?;
+        // Held while it is signalled: until it is reaped its id belongs to no other process.
+        let mut child = self.child();
+        self.launch.check(&mut child)?;
+        let process = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        let process = process.ok_or_else(|| self.launch.control_error(io::ErrorKind::NotFound.into()))?;
+        kill_process(process, Signal::HUP).map_err(|cause| self.launch.control_error(cause.into()))
+    }
+
+    /// How it ended, if it has.
+    pub fn exited(&mut self) -> Option<ExitStatus> {
+        self.child().try_wait().ok().flatten()
+    }
+
+    /// The last lines of its log.
+    #[must_use]
+    pub fn last_lines(&self) -> String {
+        log::last_lines(&self.launch.log)
+    }
+
+    /// Kills the process and reaps it; does nothing to one that has ended.
+    pub async fn end(&mut self) {
+        let _ = self.child().kill();
+        while matches!(self.child().try_wait(), Ok(None)) {
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Kills the process and starts it again on the same port, with the configuration as it is in its file.
+    ///
+    /// # Errors
+    /// As in [`Self::start`].
+    pub async fn kill_and_restart(&mut self) -> Result<(), ProcessError> {
+        self.end().await;
+        *self.child() = self.launch.spawn()?;
+        self.listens().await
+    }
+
+    /// Waits until it accepts connections.
+    async fn listens(&self) -> Result<(), ProcessError> {
+        let start = Instant::now();
+        while TcpStream::connect(self.launch.port.address()).await.is_err() {
+            self.still_runs()?;
+            if start.elapsed() >= LISTENS_WITHIN {
+                return Err(self.late("listening", LISTENS_WITHIN));
+            }
+            sleep(LOOK).await;
+        }
+        // Something else may listen there that was told the same address, and this one ends for it.
+        self.still_runs()
+    }
+
+    fn still_runs(&self) -> Result<(), ProcessError> {
+        self.launch.check(&mut self.child())
+    }
+
+    fn child(&self) -> MutexGuard<'_, Child> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn late(&self, state: &'static str, within: Duration) -> ProcessError {
+        ProcessError::Late { name: self.launch.name.clone(), state, within, log: self.last_lines() }
+    }
+}
+
+impl Drop for BalancerProcess {
+    fn drop(&mut self) {
+        let mut child = self.child();
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+impl Launch {
+    /// Replaces the configuration file at once, so that nobody reads half of it.
+    fn write(&self, text: &str) -> Result<(), ProcessError> {
+        let next = self.configuration.with_extension("next");
+        let written = fs::write(&next, text).and_then(|()| fs::rename(&next, &self.configuration));
+        written.map_err(|cause| self.file_error(&self.configuration, cause))
+    }
+
+    fn spawn(&self) -> Result<Child, ProcessError> {
+        Command::new(&self.program)
+            .env_clear()
+            .env("PROXY_CONFIG", &self.configuration)
+            .env("PROXY_LISTEN", self.port.address().to_string())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(self.open_log()?)
+            .spawn()
+            .map_err(|cause| self.spawn_error(cause))
+    }
+
+    fn open_log(&self) -> Result<File, ProcessError> {
+        let log = OpenOptions::new().create(true).append(true).open(&self.log);
+        log.map_err(|cause| self.file_error(&self.log, cause))
+    }
+
+    /// An error if the process has ended.
+    fn check(&self, child: &mut Child) -> Result<(), ProcessError> {
+        match child.try_wait() {
+            Ok(None) => Ok(()),
+            Ok(Some(status)) => {
+                Err(ProcessError::Exited { name: self.name.clone(), status, log: log::last_lines(&self.log) })
+            }
+            Err(cause) => Err(self.control_error(cause)),
+        }
+    }
+
+    fn spawn_error(&self, cause: io::Error) -> ProcessError {
+        if cause.kind() == io::ErrorKind::NotFound {
+            return ProcessError::NoProgram { path: self.program.clone() };
+        }
+        ProcessError::Spawn { name: self.name.clone(), program: self.program.clone(), cause }
+    }
+
+    fn file_error(&self, path: &Path, cause: io::Error) -> ProcessError {
+        ProcessError::File { name: self.name.clone(), path: path.to_owned(), cause }
+    }
+
+    fn control_error(&self, cause: io::Error) -> ProcessError {
+        ProcessError::Control { name: self.name.clone(), cause }
+    }
+}
+
+fn no_port(name: &str, address: SocketAddr, cause: io::Error) -> ProcessError {
+    let name = name.to_owned();
+    match cause.kind() {
+        io::ErrorKind::AddrInUse => ProcessError::PortTaken { name, address },
+        _ => ProcessError::NoPort { name, cause },
+    }
+}
+
+#[cfg(test)]
+mod tests;
