Say in the log where discovery is by the new configuration

Cause: the line about a replaced configuration only said that discovery had moved; operators, and the scale tool's test of new settings, read the address. Change and result: the line has it; tested.

--- a/dahliahead/src/in_force.rs
+++ b/dahliahead/src/in_force.rs
@@ -128,7 +128,7 @@
         let (old, new) = (&self.settings, &next.settings);
         let mut parts = Vec::new();
         if self.discovery != next.discovery {
-            parts.push(Part::Discovery);
+            parts.push(Part::Discovery(next.discovery));
         }
         let class = |place: usize| old.classes[place] != new.classes[place];
         let tenant = |place: usize| old.tenants[place] != new.tenants[place];
--- a/dahliahead/src/in_force/tests.rs
+++ b/dahliahead/src/in_force/tests.rs
@@ -94,7 +94,7 @@
     });
     assert_eq!(
         line,
-        "discovery, 2 classes added, copies 12 to 14, sockets 1024 to 2048, caps, prices; \
+        "discovery at 127.0.0.1:2, 2 classes added, copies 12 to 14, sockets 1024 to 2048, caps, prices; \
          waits for a restart: listen, seed"
     );
     assert_eq!((next.sockets(), next.connect_timeout()), (2048, Duration::from_secs(2)));
--- a/dahliahead/src/reload.rs
+++ b/dahliahead/src/reload.rs
@@ -2,6 +2,7 @@
 //! tells the operator.
 
 use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use peathatch::interface::SettingsError;
@@ -66,7 +67,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
     /// Where discovery listens.
-    Discovery,
+    Discovery(SocketAddr),
     /// Names that were not accepted before.
     Added {
         /// Of what.
@@ -104,7 +105,7 @@
 impl Display for Part {
     fn fmt(&self, to: &mut Formatter<'_>) -> fmt::Result {
         match *self {
-            Self::Discovery => to.write_str("discovery"),
+            Self::Discovery(address) => write!(to, "discovery at {address}"),
             Self::Added { list, count } => write!(to, "{count} {} added", list.counted(count)),
             Self::Removed { list, count } => write!(to, "{count} {} removed", list.counted(count)),
             Self::Changed { list, count } => write!(to, "{count} {} changed", list.counted(count)),
--- a/dahliahead/tests/reload.rs
+++ b/dahliahead/tests/reload.rs
@@ -197,7 +197,8 @@
     assert!(new.next_watch().is_none(), "discovery moved without its settings");
     // Settings and discovery move together, and the request that was there before all this is answered.
     let line = program.reload(sound.as_bytes());
-    assert_eq!(line, "dahliahead: configuration applied: discovery, 1 class added");
+    let applied = format!("discovery at {}, 1 class added", new.address);
+    assert_eq!(line, format!("dahliahead: configuration applied: {applied}"));
     let (_, _new_watch) = new.watch();
     assert_eq!(Client::connect(program.address).ask("extra", "").status(), 400, "it is to be asked with GET");
     assert_eq!(Client::connect(program.address).ask("read", "").status(), 200);
