Wait for the answer of an attempt that was written whole as it was told to end

Cause: AbortConnects ends attempts that wait for a connection. One that is written whole before its turn was given up as withdrawn, so that an unsafe request was answered 502 though its upstream was serving it. Change: run() goes on with such an attempt, as with any that was out before the drain. A withdrawal ends it as before.

--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -348,7 +348,7 @@
 
 /// Makes an attempt and tells the driver how it ended; `end` ends it from outside.
 pub async fn attempt(driver: Rc<Driver>, job: Job, progress: Rc<Progress>, end: oneshot::Receiver<Outcome>) {
-    let Some((ended, connection)) = run(&driver, &job, &progress, end).await else { return };
+    let (ended, connection) = run(&driver, &job, &progress, end).await;
     driver.attempt_ended(&job, progress.took(job.asked), ended);
     // The answer goes out first; then the connection is made ready for the next request.
     if let Some(mut connection) = connection
@@ -359,28 +359,30 @@
 }
 
 /// Runs an attempt until it has its outcome, its time is up or `end` ends it; its connection comes back if it may
-/// carry another request. `None` if neither came.
+/// carry another request.
 async fn run(
     driver: &Rc<Driver>,
     job: &Job,
     progress: &Progress,
     end: oneshot::Receiver<Outcome>,
-) -> Option<(Ended, Option<Connection>)> {
-    tokio::select! {
+) -> (Ended, Option<Connection>) {
+    let mut exchange = pin!(timeout_at(job.until, exchange(driver, job, progress)));
+    let done = tokio::select! {
         biased;
-        done = timeout_at(job.until, exchange(driver, job, progress)) => match done {
-            Ok(done) => Some(done),
-            // The exchange is dropped, and its connection closed with it.
-            Err(_) if progress.whole() => Some((Outcome::TimedOut.into(), None)),
-            // Closed before its last byte was written, it can't run any more.
-            Err(_) => Some((Outcome::ConnectFailed.into(), None)),
+        done = exchange.as_mut() => done,
+        told = end => match told {
+            // Told as it waited for its connection, and written whole before its turn: it runs, and is waited for.
+            Ok(Outcome::ConnectFailed) if progress.whole() => exchange.await,
+            Ok(outcome) => return (outcome.into(), None),
+            // Nobody ends it any more.
+            Err(_) => exchange.await,
         },
-        Ok(outcome) = end => {
-            // What went out whole in this very moment may run.
-            let outcome = if progress.whole() { Outcome::Withdrawn } else { outcome };
-            Some((outcome.into(), None))
-        }
-    }
+    };
+    done.unwrap_or_else(|_| {
+        // The exchange is over, and its connection closed with it: before its last byte was written, it never runs.
+        let outcome = if progress.whole() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        (outcome.into(), None)
+    })
 }
 
 async fn exchange(driver: &Rc<Driver>, job: &Job, progress: &Progress) -> (Ended, Option<Connection>) {
