Let a client's connection end with its sender

Cause: the abort of its task did what the HTTP library does when the sender goes; no test failed without it. Change: the abort is gone. Result: clients that leave or give up close their connections as before.

--- a/scale/src/client/connection.rs
+++ b/scale/src/client/connection.rs
@@ -13,7 +13,6 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
 /// The request as it is sent.
 pub(super) type Outgoing = Request<Full<Bytes>>;
@@ -22,8 +21,6 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    /// The task that reads and writes.
-    task: AbortHandle,
     /// It has carried a request that was answered.
     carried: bool,
 }
@@ -56,9 +53,9 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        // How it ends, the sender is told.
-        let task = tokio::spawn(connection);
-        Ok(Self { sender, task: task.abort_handle(), carried: false })
+        // It ends with the sender, and tells it of any other end.
+        tokio::spawn(connection);
+        Ok(Self { sender, carried: false })
     }
 
     /// Whether it has carried a request that was answered.
@@ -89,12 +86,6 @@
     }
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// What the end of an exchange without an answer means: an answer that makes no sense is not a close.
 fn ended(error: hyper::Error) -> ExchangeError {
     if error.is_parse() { ExchangeError::Broken(error) } else { ExchangeError::Closed(error) }
