Tell how many watches of hollow copies stand, and test told changes by it

Cause: the test of list changes could not tell when all copies had heard, and passed with changes counted that were made before the load, or twice.

Change: HollowFleet::watching counts copies whose watch stands and has told something; the test waits for it before it compares the counts.

--- a/scale/src/hollow/copy.rs
+++ b/scale/src/hollow/copy.rs
@@ -43,8 +43,8 @@
     pub ready: bool,
     /// The version of the list that it was last told.
     pub version: u64,
-    /// A watch has told it something.
-    pub told: bool,
+    /// Its watch stands and has told it something.
+    pub watching: bool,
     /// Counts its processes.
     pub life: u64,
     /// Its region.
@@ -79,7 +79,7 @@
             known: config.known,
             ready: false,
             version: 0,
-            told: false,
+            watching: false,
             life,
             region,
             idle: IdleConnections::default(),
--- a/scale/src/hollow/host/lists.rs
+++ b/scale/src/hollow/host/lists.rs
@@ -71,7 +71,7 @@
     pub(super) fn replace_copy(&mut self, copy: usize, new: HollowCopy) {
         let old = std::mem::replace(&mut self.copies[copy], new);
         self.progress.now_ready(old.ready, false);
-        self.progress.now_told(old.told, false);
+        self.progress.now_watching(old.watching, false);
         self.begin_deciding(copy);
     }
 
@@ -92,8 +92,7 @@
         self.decide(copy, Event::List(list));
         let in_force = Instant::now();
         self.measure(copy, update.index, told, in_force);
-        let before = std::mem::replace(&mut self.copies[copy].told, true);
-        self.progress.now_told(before, true);
+        self.set_watching(copy, true);
         self.run_steps();
     }
 
@@ -130,11 +129,17 @@
         }
     }
 
+    fn set_watching(&mut self, copy: usize, watching: bool) {
+        let before = std::mem::replace(&mut self.copies[copy].watching, watching);
+        self.progress.now_watching(before, watching);
+    }
+
     fn watch_broke(&mut self, copy: usize, watch: WatchNumber, reason: &WatchError) {
         self.catch_up();
         if !self.copies[copy].subscription.broke(watch) {
             return;
         }
+        self.set_watching(copy, false);
         tracing::debug!(copy = self.name(copy), %reason, "the watch on control broke");
         self.decide(copy, Event::List(ListUpdate::Broken));
         self.run_steps();
--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -150,10 +150,10 @@
         self.progress.ready()
     }
 
-    /// Copies whose watch has told them something.
+    /// Copies whose watch stands and has told them something.
     #[must_use]
-    pub fn told(&self) -> usize {
-        self.progress.told()
+    pub fn watching(&self) -> usize {
+        self.progress.watching()
     }
 
     /// Calls that have arrived and not ended. After the load, all have ended when the clients' time and half a
--- a/scale/src/hollow/progress.rs
+++ b/scale/src/hollow/progress.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Progress {
     ready: AtomicUsize,
-    told: AtomicUsize,
+    watching: AtomicUsize,
     open_calls: AtomicUsize,
     behind_us: AtomicU64,
 }
@@ -18,9 +18,9 @@
         self.ready.load(Ordering::Relaxed)
     }
 
-    /// Copies whose watch has told them something.
-    pub fn told(&self) -> usize {
-        self.told.load(Ordering::Relaxed)
+    /// Copies whose watch stands and has told them something.
+    pub fn watching(&self) -> usize {
+        self.watching.load(Ordering::Relaxed)
     }
 
     /// Calls without an end so far.
@@ -38,9 +38,9 @@
         change(&self.ready, before, after);
     }
 
-    /// A copy that was told, or not, now is or is not.
-    pub fn now_told(&self, before: bool, after: bool) {
-        change(&self.told, before, after);
+    /// A copy whose watch had told something, or not, now has or has not.
+    pub fn now_watching(&self, before: bool, after: bool) {
+        change(&self.watching, before, after);
     }
 
     /// A call has arrived.
--- a/scale/src/hollow/tests.rs
+++ b/scale/src/hollow/tests.rs
@@ -75,7 +75,7 @@
         }
         let fleet = HollowFleet::start(&scenario, &topology, &control, Arc::clone(&record), scenario.seed);
         let test = Self { fleet: fleet.expect("it starts"), scenario, topology, control, record };
-        test.until("all copies are told", |test| test.fleet.told() == 24).await;
+        test.until("all copies are told", |test| test.fleet.watching() == 24).await;
         assert_eq!(test.fleet.ready(), 24);
         test
     }
@@ -97,6 +97,12 @@
         self.record.measured().calls.len()
     }
 
+    /// Changes that copies were told and that came into force.
+    fn told(&self) -> (u64, u64) {
+        let measured = self.record.measured();
+        (measured.told_us.count(), measured.in_force_us.count())
+    }
+
     /// Waits for the last call and checks what holds in every run; returns how many were served.
     async fn finish(self) -> usize {
         let drawn = self.arrivals().len();
@@ -183,7 +189,7 @@
     test.until("more calls end", |test| test.ended() >= 200).await;
     test.fleet.cut_regions(false);
     test.fleet.restart(NodeId(4));
-    test.until("the restarted copies are told", |test| test.fleet.told() == 24).await;
+    test.until("the restarted copies are told", |test| test.fleet.watching() == 24).await;
     let served = test.finish().await;
     assert!(served > 0);
 }
@@ -200,20 +206,21 @@
     for replica in 0..3 {
         test.control.stop_replica(replica);
     }
+    test.until("all watches break", |test| test.fleet.watching() == 0).await;
     test.control.change(ServiceId(1), endpoint(&test.topology, nodes[0], 1.5));
     test.fleet.begin_load(Instant::now());
     test.control.change(ServiceId(1), endpoint(&test.topology, nodes[1], 2.0));
     for replica in 0..3 {
         test.control.start_replica(replica).await;
     }
-    let told = |test: &TestFleet| test.record.measured().told_us.count();
-    test.until("the change is told", |test| told(test) >= 8).await;
+    test.until("all copies are told", |test| test.fleet.watching() == 24).await;
+    assert_eq!(test.told(), (8, 8));
     test.control.break_watches();
     test.control.change(ServiceId(2), endpoint(&test.topology, test.topology.services[2].nodes[0], 2.0));
-    test.until("the next change is told", |test| told(test) >= 16).await;
+    test.until("the next change is told", |test| test.told().0 >= 16).await;
+    test.until("all copies are told", |test| test.fleet.watching() == 24).await;
+    assert_eq!(test.told(), (16, 16));
     test.fleet.stop().expect("the thread ran to its end");
-    let measured = test.record.measured();
-    assert_eq!((measured.told_us.count(), measured.in_force_us.count()), (16, 16));
 }
 
 /// Guards the settings in force against a text that does not parse: the copy is counted as missed and serves on.
