--- a/scale/src/hollow/tests.rs
+++ b/scale/src/hollow/tests.rs
@@ -156,21 +156,36 @@
     assert!(served_deep.count() as u64 > deep / 2);
 }
 
-/// Guards against calls that hang on machines that are gone: what can be repeated is, within its time.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn silent_nodes_are_gone_round() {
+/// Calls of one hop that may be repeated, to nodes that serve all they get.
+fn repeatable() -> Scenario {
     let mut scenario = scenario("");
     scenario.load.depths = vec![Depth { hops: 1, share: 1.0 }];
     (scenario.load.unsafe_share, scenario.load.leaving_share) = (0.0, 0.0);
     (scenario.node.error_share, scenario.node.reset_share) = (0.0, 0.0);
-    let test = TestFleet::start(scenario).await;
+    scenario
+}
+
+/// Guards against calls that hang on connections that do not come up: they are repeated elsewhere within their time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_nodes_are_gone_round() {
+    let test = TestFleet::start(repeatable()).await;
     for node in [0, 1, 2, 3] {
         test.fleet.silence(NodeId(node), true);
     }
     test.fleet.begin_load(Instant::now());
     let drawn = test.arrivals().len();
-    let served = test.finish().await;
-    assert_eq!(served, drawn);
+    assert_eq!(test.finish().await, drawn);
+}
+
+/// Guards against calls that hang on connections that stood when the other side fell silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_region_is_gone_round() {
+    let test = TestFleet::start(repeatable()).await;
+    test.fleet.begin_load(Instant::now());
+    test.until("some calls end", |test| test.ended() >= 150).await;
+    test.fleet.cut_regions(true);
+    let drawn = test.arrivals().len();
+    assert_eq!(test.finish().await, drawn);
 }
 
 /// Guards the counts through faults in the middle of the load: restarts, silence and regions apart.
