Handle what was due before anything that comes from outside

Cause: a list update or a fault that was handled while the thread lagged moved the time past things that were due, so that calls seemed to end late.

Change: they are handled at their times first.

--- a/scale/src/hollow/host.rs
+++ b/scale/src/hollow/host.rs
@@ -166,21 +166,26 @@
     /// Handles up to `most` things that are due by now; whether there may be more.
     pub fn advance(&mut self, most: usize) -> bool {
         let wall = self.zero.elapsed();
-        for _ in 0..most {
-            let Some(DueEntry { at, due }) = self.schedule.take_due(wall) else { return false };
-            self.now = self.now.max(at);
-            if self.load_starts.is_some() {
-                self.progress.was_behind(wall.saturating_sub(at));
-            }
-            self.fall_due(due);
-            self.run_steps();
-        }
-        true
+        (0..most).all(|_| self.handle_next(wall))
     }
 
-    /// Something comes from outside: time has passed up to now.
+    /// Something comes from outside: all that was due before it is handled first.
     fn catch_up(&mut self) {
-        self.now = self.now.max(self.zero.elapsed());
+        let wall = self.zero.elapsed();
+        while self.handle_next(wall) {}
+        self.now = self.now.max(wall);
+    }
+
+    /// Handles the next thing that is due at `wall`; `false` if there is none.
+    fn handle_next(&mut self, wall: Duration) -> bool {
+        let Some(DueEntry { at, due }) = self.schedule.take_due(wall) else { return false };
+        self.now = self.now.max(at);
+        if self.load_starts.is_some() {
+            self.progress.was_behind(wall.saturating_sub(at));
+        }
+        self.fall_due(due);
+        self.run_steps();
+        true
     }
 
     fn fall_due(&mut self, due: Due) {
