Put new settings in force on hollow copies as the balancer does

Cause: reload read a configuration and then refused it, as the module took settings at its start only; it takes them while running now.

Change: hollow copies hold the balancer's InForce and hand Event::SettingsChanged on; the time from the hand-over to when the module has taken them in goes into settings_us, refused texts into settings_missed. A copy that starts anew has the settings that it was given last, with the list of that moment.

--- a/scale/src/hollow/copy.rs
+++ b/scale/src/hollow/copy.rs
@@ -2,16 +2,15 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use dahliahead::clock::Clock;
 use dahliahead::config::Config;
 use dahliahead::directory::{Change, Directory, Origin};
 use dahliahead::discovery::Update;
+use dahliahead::in_force::InForce;
 use dahliahead::subscription::Subscription;
 use peathatch::Balancer;
 use peathatch::interface::{AttemptNumber, ClassId, RequestId, SettingsError, TenantId, UpstreamId};
-use peathatch_wirehost::setup::Names;
 use rustc_hash::FxHashMap;
 
 use super::calls::{AttemptId, CallClass};
@@ -19,9 +18,6 @@
 use crate::process::settings::{CLASS_ORDER, CLASS_READ, tenant_name};
 use crate::topology::RegionId;
 
-/// Part of the settings' idle limit after which a kept connection is closed, as in the balancer.
-const KEEP_PART: f64 = 0.7;
-
 /// An attempt whose connection does not come up.
 #[derive(Debug, Clone, Copy)]
 struct Connecting {
@@ -51,13 +47,10 @@
     pub region: RegionId,
     /// Its idle connections.
     pub idle: IdleConnections,
-    /// How long a connection may take to come up.
-    pub connect_timeout: Duration,
-    /// How long a connection is kept idle.
-    pub keep: Duration,
+    /// The configuration in force.
+    pub in_force: InForce,
     /// Counts the descriptors of its watches.
     pub sockets: Rc<Cell<usize>>,
-    names: Names,
     /// Positions of the nodes listed.
     nodes: FxHashMap<UpstreamId, usize>,
     connecting: Vec<Connecting>,
@@ -68,25 +61,29 @@
     ///
     /// # Errors
     /// The settings make no sense.
-    pub fn start(config: Config, clock: Clock, region: RegionId, life: u64) -> Result<Self, SettingsError> {
-        let keepalive = config.loaded.settings.allowed.keepalive;
+    pub fn start(
+        mut config: Config,
+        clock: Clock,
+        region: RegionId,
+        life: u64,
+    ) -> Result<Self, SettingsError> {
+        let (seed, known) = (config.seed, config.known.take());
+        let in_force = InForce::start(config);
         // A process that starts anew draws anew.
-        let balancer = Balancer::new(config.loaded.settings, config.seed.wrapping_add(life))?;
+        let balancer = Balancer::new(in_force.settings(), seed.wrapping_add(life))?;
         Ok(Self {
             balancer,
             directory: Directory::new(clock),
-            subscription: Subscription::new(config.discovery),
-            known: config.known,
+            subscription: Subscription::new(in_force.discovery()),
+            known,
             ready: false,
             version: 0,
             watching: false,
             life,
             region,
             idle: IdleConnections::default(),
-            connect_timeout: config.loaded.connect_timeout,
-            keep: keepalive.mul_f64(KEEP_PART),
+            in_force,
             sockets: Rc::default(),
-            names: config.loaded.names,
             nodes: FxHashMap::default(),
             connecting: Vec::new(),
         })
@@ -99,7 +96,7 @@
         origin: Origin,
         positions: &FxHashMap<String, usize>,
     ) -> Change {
-        let change = self.directory.take(update, origin, &self.names);
+        let change = self.directory.take(update, origin, self.in_force.names());
         for endpoint in &update.endpoints {
             if let Some(upstream) = self.directory.number(&endpoint.name)
                 && let Some(&node) = positions.get(&endpoint.name)
@@ -123,17 +120,17 @@
             CallClass::Read => CLASS_READ,
             CallClass::Order => CLASS_ORDER,
         };
-        self.names.classes.get(name).copied().map(ClassId)
+        self.in_force.names().classes.get(name).copied().map(ClassId)
     }
 
     /// A tenant in terms of the settings.
     pub fn tenant(&self, number: u32) -> Option<TenantId> {
-        self.names.tenants.get(&tenant_name(number)).copied().map(TenantId)
+        self.in_force.names().tenants.get(&tenant_name(number)).copied().map(TenantId)
     }
 
     /// The fields of load reports.
     pub fn load_fields(&self) -> &[String] {
-        &self.names.load_fields
+        &self.in_force.names().load_fields
     }
 
     /// An attempt's connection does not come up for now.
--- a/scale/src/hollow/host.rs
+++ b/scale/src/hollow/host.rs
@@ -10,6 +10,7 @@
 mod lists;
 mod requests;
 mod runs;
+mod settings;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -19,7 +20,6 @@
 use std::time::{Duration, Instant};
 
 use dahliahead::clock::Clock;
-use dahliahead::config::Config;
 use peathatch::interface::{Outcome, RequestId};
 use peathatch::{Action, Event};
 use rustc_hash::FxHashMap;
@@ -72,6 +72,8 @@
     actions: Vec<Action>,
     copies: Vec<HollowCopy>,
     nodes: Vec<ModelledNode>,
+    /// Configurations that copies were given while they ran, without lists.
+    replaced: FxHashMap<usize, String>,
     /// Positions of the nodes by name.
     positions: FxHashMap<String, usize>,
     arrivals: Peekable<Arrivals>,
@@ -118,6 +120,7 @@
                 actions: Vec::new(),
                 copies: Vec::with_capacity(plan.hollow()),
                 nodes,
+                replaced: FxHashMap::default(),
                 positions,
                 arrivals: arrivals.peekable(),
                 load_starts: None,
@@ -137,7 +140,7 @@
     fn start_copies(&mut self) -> Result<(), HollowError> {
         for number in 0..self.plan.hollow() {
             let copy = self.new_copy(number, 0)?;
-            let sweeps_at = self.now + copy.keep / SWEEPS;
+            let sweeps_at = self.now + copy.in_force.keep() / SWEEPS;
             self.copies.push(copy);
             self.schedule.add(sweeps_at, Due::Sweep { copy: number });
             self.begin_deciding(number);
@@ -145,15 +148,6 @@
         Ok(())
     }
 
-    fn new_copy(&self, number: usize, life: u64) -> Result<HollowCopy, HollowError> {
-        let error = |cause| HollowError::Configuration { copy: self.name(number), cause };
-        let text = self.plan.configuration(CopyId(number), &self.control);
-        let config = Config::parse(&text, |_| None).map_err(error)?;
-        let topology = &self.plan.topology;
-        let region = topology.region(topology.copies[number].zone);
-        HollowCopy::start(config, self.clock, region, life).map_err(|cause| error(cause.into()))
-    }
-
     fn name(&self, copy: usize) -> String {
         self.plan.topology.copies[copy].name.clone()
     }
--- a/scale/src/hollow/host/attempts.rs
+++ b/scale/src/hollow/host/attempts.rs
@@ -59,7 +59,7 @@
             return self.end_attempt(id, Outcome::ConnectFailed, None);
         };
         if self.is_unreachable(copy, node) {
-            let patience = self.copies[copy].connect_timeout;
+            let patience = self.copies[copy].in_force.connect_timeout();
             self.copies[copy].connects(upstream, id);
             return self.schedule.add(start_by.min(self.now + patience), Due::ConnectTimeout(id));
         }
@@ -223,7 +223,7 @@
 
     /// Closes the connections of a copy that have been idle for too long.
     pub(super) fn sweep(&mut self, copy: usize) {
-        let keep = self.copies[copy].keep;
+        let keep = self.copies[copy].in_force.keep();
         if let Some(oldest) = self.now.checked_sub(keep) {
             let old = self.copies[copy].idle.drain_older(oldest);
             self.close(old);
--- a/scale/src/hollow/host/lists.rs
+++ b/scale/src/hollow/host/lists.rs
@@ -1,32 +1,19 @@
-//! What copies hear from control, how late, and what new settings they are given.
+//! What copies hear from control, and how late.
 
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Instant;
 
-use dahliahead::config::{Config, ConfigError};
 use dahliahead::directory::{Change, Origin};
 use dahliahead::discovery::{self, Update, WatchError, WatchEvents, WatchNumber};
 use dahliahead::permit::Permit;
 use peathatch::Event;
 use peathatch::interface::ListUpdate;
-use thiserror::Error;
 use tokio::task::spawn_local;
 
 use super::Host;
 use crate::hollow::copy::HollowCopy;
 
-/// Why a copy does not come to decide by new settings.
-#[derive(Debug, Error)]
-enum ReloadError {
-    /// They cannot be used.
-    #[error("{0}")]
-    Configuration(#[from] ConfigError),
-    /// The decision module takes settings at its start only.
-    #[error("new settings of a running copy are not supported by this build")]
-    NotSupported,
-}
-
 /// The watch of one copy reports here.
 struct CopyWatch {
     host: Weak<RefCell<Host>>,
@@ -144,21 +131,4 @@
         self.decide(copy, Event::List(ListUpdate::Broken));
         self.run_steps();
     }
-
-    /// A copy is given a new configuration, as by SIGHUP. One that cannot be used leaves the old one in force.
-    pub fn reload(&mut self, copy: usize, text: &str, handed_over: Instant) {
-        self.catch_up();
-        match Self::change_settings(text) {
-            Ok(()) => self.record.measured().settings_us.add(handed_over.elapsed()),
-            Err(error) => {
-                tracing::debug!(copy = self.name(copy), %error, "the old settings stay in force");
-                self.record.measured().settings_missed += 1;
-            }
-        }
-    }
-
-    fn change_settings(text: &str) -> Result<(), ReloadError> {
-        Config::parse(text, |_| None)?;
-        Err(ReloadError::NotSupported)
-    }
 }
--- a/scale/src/hollow/plan.rs
+++ b/scale/src/hollow/plan.rs
@@ -34,3 +34,10 @@
         settings::configuration(&self.scenario, &self.topology, copy, LISTEN, address, &known, None)
     }
 }
+
+/// The text of a configuration without the list of nodes, which is most of it and old by the next start.
+pub(super) fn without_list(text: &str) -> Option<String> {
+    let mut configuration: serde_json::Map<String, serde_json::Value> = serde_json::from_str(text).ok()?;
+    configuration.remove("known");
+    serde_json::to_string(&configuration).ok()
+}
--- a/scale/src/hollow/tests.rs
+++ b/scale/src/hollow/tests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dahliahead::config::Config;
 use dahliahead::discovery::Endpoint;
 use tokio::time::{sleep, timeout};
 
@@ -241,19 +242,43 @@
     test.fleet.stop().expect("the thread ran to its end");
 }
 
-/// Guards the settings in force against a text that does not parse: the copy is counted as missed and serves on.
+fn configuration(test: &TestFleet, copy: CopyId, change: SettingsChange) -> String {
+    let known = test.control.list(test.topology.copies[copy.0].target);
+    let listen = "127.0.0.1:9".parse().expect("an address");
+    let address = test.control.address(copy);
+    let (scenario, topology) = (&test.scenario, &test.topology);
+    settings::configuration(scenario, topology, copy, listen, address, &known, Some(change))
+}
+
+/// Guards the way of new settings to copies that serve, one of which starts anew with them; a text that does not
+/// parse is counted as missed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn malformed_settings_are_missed() {
+async fn settings_come_into_force_or_are_missed() {
     let test = TestFleet::start(scenario("")).await;
-    let (copy, service) = (CopyId(5), test.topology.copies[5].target);
-    let known = test.control.list(service);
-    let (address, change) = (test.control.address(copy), Some(SettingsChange::Malformed));
-    let listen = "127.0.0.1:9".parse().expect("an address");
-    let text = settings::configuration(&test.scenario, &test.topology, copy, listen, address, &known, change);
-    test.fleet.reload(copy, text);
     test.fleet.begin_load(Instant::now());
+    test.until("some calls end", |test| test.ended() >= 50).await;
+    let reload = |copy, change| {
+        test.fleet.reload(CopyId(copy), configuration(&test, CopyId(copy), change));
+    };
+    reload(4, SettingsChange::AddClass);
+    reload(5, SettingsChange::Malformed);
+    reload(6, SettingsChange::Copies);
+    test.fleet.restart(NodeId(4));
+    // Settings without the class that was added follow those with it.
+    reload(4, SettingsChange::Copies);
     let record = Arc::clone(&test.record);
     test.finish().await;
     let measured = record.measured();
-    assert_eq!((measured.settings_missed, measured.settings_us.count()), (1, 0));
+    assert_eq!((measured.settings_us.count(), measured.settings_missed), (3, 1));
+}
+
+/// Guards the settings that a copy starts anew with: those that it was given last, without the old list.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn given_settings_are_kept_without_the_list() {
+    let test = TestFleet::start(scenario("")).await;
+    let text = configuration(&test, CopyId(4), SettingsChange::AddClass);
+    let kept = plan::without_list(&text).expect("it parses");
+    let config = Config::parse(&kept, |_| None).expect("a sound configuration");
+    assert!(config.known.is_none());
+    assert!(config.loaded.names.classes.contains_key(settings::CLASS_EXTRA));
 }
