--- a/scale/src/hollow/host/lists.rs
+++ b/scale/src/hollow/host/lists.rs
@@ -1,32 +1,19 @@
-//! What copies hear from control, how late, and what new settings they are given.
+//! What copies hear from control, and how late.
 
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Instant;
 
-use dahliahead::config::{Config, ConfigError};
 use dahliahead::directory::{Change, Origin};
 use dahliahead::discovery::{self, Update, WatchError, WatchEvents, WatchNumber};
 use dahliahead::permit::Permit;
 use peathatch::Event;
 use peathatch::interface::ListUpdate;
-use thiserror::Error;
 use tokio::task::spawn_local;
 
 use super::Host;
 use crate::hollow::copy::HollowCopy;
 
-/// Why a copy does not come to decide by new settings.
-#[derive(Debug, Error)]
-enum ReloadError {
-    /// They cannot be used.
-    #[error("{0}")]
-    Configuration(#[from] ConfigError),
-    /// The decision module takes settings at its start only.
-    #[error("new settings of a running copy are not supported by this build")]
-    NotSupported,
-}
-
 /// The watch of one copy reports here.
 struct CopyWatch {
     host: Weak<RefCell<Host>>,
@@ -71,7 +58,7 @@
     pub(super) fn replace_copy(&mut self, copy: usize, new: HollowCopy) {
         let old = std::mem::replace(&mut self.copies[copy], new);
         self.progress.now_ready(old.ready, false);
-        self.progress.now_told(old.told, false);
+        self.progress.now_watching(old.watching, false);
         self.begin_deciding(copy);
     }
 
@@ -92,8 +79,7 @@
         self.decide(copy, Event::List(list));
         let in_force = Instant::now();
         self.measure(copy, update.index, told, in_force);
-        let before = std::mem::replace(&mut self.copies[copy].told, true);
-        self.progress.now_told(before, true);
+        self.set_watching(copy, true);
         self.run_steps();
     }
 
@@ -130,30 +116,19 @@
         }
     }
 
+    fn set_watching(&mut self, copy: usize, watching: bool) {
+        let before = std::mem::replace(&mut self.copies[copy].watching, watching);
+        self.progress.now_watching(before, watching);
+    }
+
     fn watch_broke(&mut self, copy: usize, watch: WatchNumber, reason: &WatchError) {
         self.catch_up();
         if !self.copies[copy].subscription.broke(watch) {
             return;
         }
+        self.set_watching(copy, false);
         tracing::debug!(copy = self.name(copy), %reason, "the watch on control broke");
         self.decide(copy, Event::List(ListUpdate::Broken));
         self.run_steps();
     }
-
-    /// A copy is given a new configuration, as by SIGHUP. One that cannot be used leaves the old one in force.
-    pub fn reload(&mut self, copy: usize, text: &str, handed_over: Instant) {
-        self.catch_up();
-        match Self::change_settings(text) {
-            Ok(()) => self.record.measured().settings_us.add(handed_over.elapsed()),
-            Err(error) => {
-                tracing::debug!(copy = self.name(copy), %error, "the old settings stay in force");
-                self.record.measured().settings_missed += 1;
-            }
-        }
-    }
-
-    fn change_settings(text: &str) -> Result<(), ReloadError> {
-        Config::parse(text, |_| None)?;
-        Err(ReloadError::NotSupported)
-    }
 }
