--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -64,8 +64,8 @@
     /// There is no folder for the balancers' files.
     #[error("no folder for the balancers' files: {0}")]
     Directory(#[source] io::Error),
-    /// Hollow copies did not become ready in time.
-    #[error("{ready} of {of} hollow copies were ready within {within_s} s")]
+    /// Copies did not become ready and hear from control in time.
+    #[error("{ready} of {of} copies were ready and watched their list within {within_s} s")]
     NotReady {
         /// Copies that were ready.
         ready: usize,
--- a/scale/src/run/fleet.rs
+++ b/scale/src/run/fleet.rs
@@ -81,17 +81,16 @@
         })
     }
 
-    /// Waits until every copy is ready.
+    /// Waits until every copy is ready and has heard from control.
     pub async fn ready(&self, within: Duration) -> Result<(), RunError> {
         let start = Instant::now();
         for balancer in &self.balancers {
             let left = within.saturating_sub(start.elapsed());
             balancer.process.lock().await.ready(left).await?;
         }
-        let Some(hollow) = &self.hollow else { return Ok(()) };
-        let of = self.topology.copies.len() - self.balancers.len();
+        let of = self.topology.copies.len();
         loop {
-            let ready = hollow.ready();
+            let ready = self.ready_copies();
             if ready >= of {
                 return Ok(());
             }
@@ -102,6 +101,13 @@
         }
     }
 
+    /// Copies that could serve and have a watch, at least.
+    fn ready_copies(&self) -> usize {
+        let watching = self.topology.copies.len() - self.lists_behind();
+        let serving = self.hollow.as_ref().map_or(0, HollowFleet::ready) + self.balancers.len();
+        watching.min(serving)
+    }
+
     /// What control carried for each copy so far.
     pub fn control_usage(&self) -> Vec<ControlUsage> {
         (0..self.topology.copies.len()).map(|copy| self.control.usage(CopyId(copy))).collect()
--- a/scale/src/slopes.rs
+++ b/scale/src/slopes.rs
@@ -109,6 +109,7 @@
 pub fn table(report: &SlopesReport) -> Table {
     let mut table = Table::default();
     for slope in &report.slopes {
+        table.section();
         let name = slope.name.name();
         table.row([format!("{name}, by {}", slope.sizes.name), format!("{:.1} s", slope.took_s)]);
         for figure in &slope.figures {
--- a/scale/src/table.rs
+++ b/scale/src/table.rs
@@ -9,18 +9,34 @@
 /// Spaces between columns.
 const GAP: usize = 2;
 
-/// Rows of cells, printed with aligned columns.
+/// Rows of cells, printed with columns that are aligned within each section.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
+    sections: Vec<Section>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Section {
     rows: Vec<Vec<String>>,
 }
 
 impl Table {
-    /// Adds a row.
+    /// Begins a section; the one before it and this are set apart by an empty line.
+    pub fn section(&mut self) {
+        self.sections.push(Section::default());
+    }
+
+    /// Adds a row to the section.
     pub fn row<T: Display>(&mut self, cells: impl IntoIterator<Item = T>) {
-        self.rows.push(cells.into_iter().map(|cell| cell.to_string()).collect());
+        let row = cells.into_iter().map(|cell| cell.to_string()).collect();
+        match self.sections.last_mut() {
+            Some(section) => section.rows.push(row),
+            None => self.sections.push(Section { rows: vec![row] }),
+        }
     }
+}
 
+impl Section {
     fn widths(&self) -> Vec<usize> {
         let columns = self.rows.iter().map(Vec::len).max().unwrap_or_default();
         let width = |column| {
@@ -31,6 +47,19 @@
 }
 
 impl Display for Table {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let filled = self.sections.iter().filter(|section| !section.rows.is_empty());
+        for (number, section) in filled.enumerate() {
+            if number > 0 {
+                writeln!(formatter)?;
+            }
+            section.fmt(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+impl Display for Section {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let widths = self.widths();
         for row in &self.rows {
@@ -49,12 +78,18 @@
 pub fn of_report(report: &Report) -> Table {
     let mut table = Table::default();
     head(&mut table, report);
+    table.section();
     calls(&mut table, report);
+    table.section();
     latencies(&mut table, report);
+    table.section();
     attempts(&mut table, "attempts a call, real", &report.attempts_per_call);
     attempts(&mut table, "attempts a call, hollow", &report.hollow_attempts_per_call);
+    table.section();
     control(&mut table, report);
+    table.section();
     delays(&mut table, report);
+    table.section();
     for recovery in &report.recovery_s {
         fault(&mut table, recovery);
     }
