--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -3,6 +3,7 @@
 //! Real balancer processes and hollow balancers (the decision module and the watch code without sockets for
 //! clients) stand beside stand-in nodes and a stand-in control plane. Everything is on loopback.
 
+pub mod cover;
 pub mod record;
 pub mod scenario;
 pub mod topology;
