--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -11,10 +11,10 @@
 use tracing::{error, info};
 use tracing_subscriber::EnvFilter;
 
+use crate::cover::{Cover, CoverError};
 use crate::interrupt::Interrupt;
 use crate::process::{ProcessError, find_program};
 use crate::run::{Options, run};
-
 use crate::scenario::Scenario;
 use crate::scenario::load::{ScenarioError, check_machine, load};
 use crate::scenario::machine::{Machine, MachineError};
@@ -73,6 +73,24 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Counts how evenly the copies of a service cover its endpoints when some know an old count of copies.
+    Cover {
+        /// Copies that send.
+        #[arg(long, default_value_t = 610)]
+        copies: u32,
+        /// The count that the copies numbered below it were started with.
+        #[arg(long, default_value_t = 610)]
+        old_count: u32,
+        /// Endpoints that are ready.
+        #[arg(long, default_value_t = 610)]
+        endpoints: u32,
+        /// Calls that each copy sends.
+        #[arg(long, default_value_t = 500)]
+        calls: u32,
+        /// Seed of all chance.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Says whether a scenario makes sense and this machine can carry it, and starts nothing.
     Check {
         #[command(flatten)]
@@ -101,6 +119,8 @@
     Slope(#[from] SlopeScenarioError),
     #[error(transparent)]
     Process(#[from] ProcessError),
+    #[error(transparent)]
+    Cover(#[from] CoverError),
     #[error("the runtime does not start: {0}")]
     Runtime(#[source] io::Error),
     #[error("--report {}: cannot be written: {cause}", file.display())]
@@ -116,7 +136,7 @@
 impl CommandError {
     fn code(&self) -> u8 {
         match self {
-            Self::Scenario(_) | Self::Slope(_) | Self::Report { .. } => NO_SENSE,
+            Self::Scenario(_) | Self::Slope(_) | Self::Cover(_) | Self::Report { .. } => NO_SENSE,
             _ => PARTIAL,
         }
     }
@@ -156,6 +176,12 @@
                 scenario.seed = seed.unwrap_or(scenario.seed);
                 run_scenario(&scenario, report.as_deref())
             }
+            Self::Cover { copies, old_count, endpoints, calls, seed } => {
+                let cover = Cover { copies, old_count, endpoints, calls_per_copy: calls };
+                let spread = serde_json::to_string(&cover.measure(seed)?)?;
+                writeln!(io::stdout(), "{spread}").map_err(CommandError::Output)?;
+                Ok(WHOLE)
+            }
             Self::Slopes { only, seed, report } => {
                 let kinds = if only.is_empty() { SlopeKind::value_variants().to_vec() } else { only };
                 run_slopes(&kinds, seed, report.as_deref())
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod client;
 pub mod control;
+pub mod cover;
 pub mod faults;
 pub mod fit;
 pub mod hollow;
