Test that idle clients keep neither the watch nor active clients from descriptors

Change: a test with the program under a real limit of 64 descriptors: idle clients keep coming while discovery refuses, and after it is back; who is active is served with 200, the watch is opened from the version in hand, and its drain heard.

--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -265,7 +265,11 @@
 
     /// One whose watches say so every `beat` that nothing has changed.
     pub fn beating(beat: Duration) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a free port"), beat)
+    }
+
+    /// The same on a listener that is there already.
+    pub fn on(listener: TcpListener, beat: Duration) -> Self {
         let address = listener.local_addr().expect("bound");
         let (report, watches) = mpsc::channel();
         thread::spawn(move || {
--- a/dahliahead/tests/floods.rs
+++ b/dahliahead/tests/floods.rs
@@ -3,8 +3,11 @@
 mod common;
 
 use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use common::*;
+use socket2::{Domain, Socket, Type};
 
 /// Most memory that a program has held so far, in KiB.
 fn peak_kib(program: &std::process::Child) -> u64 {
@@ -148,3 +151,55 @@
     assert_eq!(balancer.client().ask("order", "x").status(), 200);
     assert!(upstream.requests().iter().all(|(_, request)| request.line.contains("/order")));
 }
+
+/// Guards drains and clients where idle clients fill the descriptors while discovery is down: who is active is served all
+/// the time, and once discovery is back the watch is opened and heard, though the idle keep coming.
+#[test]
+fn idle_clients_keep_neither_the_watch_nor_others_from_their_descriptors() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    // Bound and not yet listening, it refuses.
+    let down = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    down.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    let address_of_discovery = down.local_addr().expect("bound").as_socket().expect("IPv4");
+    let known = [endpoint("s-1", old.address, 0, "ready")];
+    let mut program = program_within(64, &configuration(address_of_discovery, &known, 30.0, 64));
+    let (address, _log) = address(&mut program);
+    let mut idle = std::collections::VecDeque::new();
+    // Brings as many idle clients as there are descriptors, every other one after a request, and tells who serves an
+    // active one then. A connection may be shut unread, and its client comes again.
+    let mut crowded = || {
+        for number in 0..64 {
+            let mut client = Client::connect(address);
+            if number % 2 == 0 {
+                client.send("order", "x");
+                let answer = client.answer();
+                assert!(answer.as_ref().is_none_or(|answer| answer.status() == 200), "{answer:?}");
+            }
+            idle.push_back(client);
+        }
+        idle.drain(..idle.len().saturating_sub(128));
+        let answer = wait_for("an answer beside them", || {
+            let mut active = Client::connect(address);
+            active.send("order", "x");
+            active.answer()
+        });
+        assert_eq!(answer.status(), 200);
+        answer.body
+    };
+    for _ in 0..10 {
+        assert_eq!(crowded(), b"old");
+    }
+    down.listen(8).expect("bound");
+    let discovery = Discovery::on(down.into(), Duration::from_millis(500));
+    let (line, watch) = wait_for("the watch", || {
+        crowded();
+        discovery.next_watch()
+    });
+    assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
+    let drained = endpoint("s-1", old.address, 0, "draining");
+    watch.says(8, false, &[drained, endpoint("s-2", new.address, 0, "ready")]);
+    wait_for("the list is heard", || (crowded() == b"new").then_some(()));
+    assert_eq!(crowded(), b"new");
+    program.kill().expect("it runs");
+    program.wait().expect("ends");
+}
