Test that a restarted copy is ready beside a discovery that is slow

Change: two more, a call answered with no word behind it and with a part of one. Result: passes; with the list in hand passed over at the start it fails.

--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -125,15 +125,24 @@
 }
 
 /// Guards restarts: with a list in hand a balancer serves at once, whatever has become of discovery: down, silent from
-/// the start, cut off behind a full queue, or refusing calls.
+/// the start, cut off behind a full queue, refusing calls, or so slow that a call is answered and no word follows, or a
+/// part of one.
 #[test]
 fn a_list_in_hand_serves_without_discovery() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let refusing = Upstream::start(|_, _| status("503 Service Unavailable"));
     let silent = Upstream::start(|_, _| Reply::Silence);
+    let slow = |begun: &'static str| {
+        Upstream::start(move |_, _| {
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            Reply::Bytes([head, begun].concat().into_bytes())
+        })
+    };
+    let (wordless, halting) = (slow(""), slow("b\r\n{\"index\":9,\r\n"));
     let (cut_off, _filling) = full_listener();
     let cut_off = cut_off.local_addr().expect("bound");
-    for discovery in [dead_address(), silent.address, cut_off, refusing.address] {
+    let slow = [wordless.address, halting.address];
+    for discovery in [dead_address(), silent.address, cut_off, refusing.address].into_iter().chain(slow) {
         let known = [endpoint("s-1", upstream.address, 0, "ready")];
         let started = std::time::Instant::now();
         let balancer = Balancer::start(&configuration(discovery, &known, 30.0, 1024));
