Spread the calls of absent copies over all that are there

A call to a copy whose machine is lost went to the next present one by number. Copies of a zone stand side by side, so that one copy got the calls of nineteen.

--- a/scale/src/hollow/host/clients.rs
+++ b/scale/src/hollow/host/clients.rs
@@ -11,6 +11,8 @@
 
 /// Pause of a client that was refused and got no advice.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Spreads the numbers of calls, which follow one another; odd.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 /// A call without any answer so long after its time was up is lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
 
@@ -62,13 +64,13 @@
         self.try_call(id);
     }
 
-    /// Sends a call to its copy, or to the next one whose machine is there: clients come through a front.
+    /// Sends a call to its copy, or if that one's machine is not there, to one of those that are: clients come
+    /// through a front, which spreads them.
     pub(super) fn try_call(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
         let (work, time) = (call.work, call.deadline.saturating_sub(self.now));
-        let count = self.copies.len();
-        let mut choices = (0..count).map(|further| (call.copy + further) % count);
-        let Some(copy) = choices.find(|&copy| self.is_present(copy)) else {
+        let drawn = Some(call.copy).filter(|&copy| self.is_present(copy));
+        let Some(copy) = drawn.or_else(|| self.present_copy(id)) else {
             return self.end_call(id, CallEnd::Failed);
         };
         let request = self.take(copy, Origin::Client(id), work, time);
@@ -80,6 +82,13 @@
         }
     }
 
+    /// One of the copies whose machine is there, spread evenly by the call's number.
+    fn present_copy(&self, id: CallId) -> Option<usize> {
+        let present: Vec<usize> = (0..self.copies.len()).filter(|&copy| self.is_present(copy)).collect();
+        let spread = id.0.wrapping_mul(SPREAD) >> u32::BITS;
+        present.get(spread as usize % present.len().max(1)).copied()
+    }
+
     fn is_present(&self, copy: usize) -> bool {
         let node = &self.nodes[self.node_of(copy)];
         !node.silent && !node.down
