--- a/scale/src/report/calls.rs
+++ b/scale/src/report/calls.rs
@@ -55,13 +55,13 @@
 impl Calls {
     /// Sorts the calls of a run.
     pub(super) fn of(run: &Run<'_>, calls: &[Call]) -> Self {
-        let seconds = run.played_s.ceil().max(1.0) as usize;
+        let seconds = run.played_s.round().max(1.0) as usize;
         let empty = vec![0; seconds];
         let mut sorted = Self {
             all: Counts::default(),
             by_carrier: [Counts::default(); 2],
             hollow_us: BTreeMap::new(),
-            share: ServedShare::over(run.played_s),
+            share: ServedShare::over(run.played_s, run.scenario.load.deadline_s),
             series: Series { served: empty.clone(), refused: empty.clone(), failed: empty },
         };
         for call in calls {
--- a/scale/src/report/recovery.rs
+++ b/scale/src/report/recovery.rs
@@ -31,7 +31,7 @@
     pub at_s: f64,
     /// Its end.
     pub ends_s: f64,
-    /// Share of calls served in the second before.
+    /// Share of calls served of those due in a second before, early enough to have ended when it began.
     pub share_before: Option<f64>,
     /// Lowest share of a second from its start until the share was back, or until the end of the load.
     pub lowest_share: Option<f64>,
@@ -43,6 +43,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServedShare {
     steps: Vec<Step>,
+    /// A call has ended so many steps after it was due.
+    call_ends: usize,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -52,10 +54,10 @@
 }
 
 impl ServedShare {
-    /// Of a load of so many seconds.
+    /// Of a load of so many seconds, whose clients wait for `deadline_s`.
     #[must_use]
-    pub fn over(duration_s: f64) -> Self {
-        Self { steps: vec![Step::default(); step(duration_s).max(1)] }
+    pub fn over(duration_s: f64, deadline_s: f64) -> Self {
+        Self { steps: vec![Step::default(); step(duration_s).max(1)], call_ends: step(deadline_s) }
     }
 
     /// Adds a call that was due then; calls whose clients left are not to be added.
@@ -69,7 +71,8 @@
     /// What a fault did.
     #[must_use]
     pub fn recovery(&self, fault: FaultSpan) -> Recovery {
-        let share_before = self.second_until(step(fault.at_s));
+        let before = step(fault.at_s).saturating_sub(self.call_ends).max(STEPS_PER_S);
+        let share_before = self.second_until(before);
         let back = share_before.and_then(|before| self.back(step(fault.ends_s), before - TOLERANCE));
         let until = back.unwrap_or(self.steps.len());
         let shares = (step(fault.at_s) + 1..=until).filter_map(|end| self.second_until(end));
--- a/scale/tests/report.rs
+++ b/scale/tests/report.rs
@@ -32,6 +32,7 @@
         played_s: 10.0,
         faults: Vec::new(),
         control: Vec::new(),
+        hollow_core_s: 2.0,
         lists_behind: None,
         hollow_end: None,
         tool: None,
@@ -117,7 +118,6 @@
     for (copy, core, memory) in looks {
         record.measured().processes.push((CopyId(copy), usage(core, memory)));
     }
-    record.measured().hollow_core_s = 2.0;
     let idle = scenario(&["load.real_calls_per_s=0"]);
     let control = [1000, 2000, 6000].map(|bytes| ControlUsage { bytes, calls: 2, turned_away: 1 });
     let measure = |scenario: &Scenario| {
@@ -158,7 +158,7 @@
 
 /// 100 calls a second, all served but between two times, where `share` is.
 fn dip(from_s: f64, to_s: f64, share: f64) -> ServedShare {
-    let mut shares = ServedShare::over(10.0);
+    let mut shares = ServedShare::over(10.0, 1.0);
     for number in 0..1000 {
         let due_s = f64::from(number) / 100.0;
         let dipped = due_s >= from_s && due_s < to_s;
@@ -180,6 +180,15 @@
     assert!((1.8..=2.1).contains(&back), "the second after 5.0 s holds no more failures: {back}");
 }
 
+#[test]
+fn calls_that_a_fault_met_on_their_way_do_not_count_as_before_it() {
+    // Those due in the second before the fault are caught by it, as they take up to a second.
+    let recovery = dip(2.0, 5.0, 0.5).recovery(fault(3.0, 4.0));
+    assert_eq!(recovery.share_before, Some(1.0));
+    let back = recovery.recovery_s.expect("it came back");
+    assert!((1.8..=2.1).contains(&back), "{back}");
+}
+
 #[test]
 fn a_fault_that_nothing_suffers_from_is_recovered_from_at_once() {
     assert_eq!(dip(0.0, 0.0, 1.0).recovery(fault(3.0, 4.0)).recovery_s, Some(0.0));
@@ -189,7 +198,7 @@
 fn a_share_that_does_not_hold_is_no_recovery() {
     assert_eq!(dip(3.0, 8.5, 0.5).recovery(fault(3.0, 4.0)).recovery_s, None);
     assert_eq!(dip(0.0, 0.0, 1.0).recovery(fault(9.0, 9.0)).recovery_s, None, "too near to the end to tell");
-    assert_eq!(ServedShare::over(10.0).recovery(fault(3.0, 4.0)).recovery_s, None, "nothing was called");
+    assert_eq!(ServedShare::over(10.0, 1.0).recovery(fault(3.0, 4.0)).recovery_s, None, "nothing was called");
 }
 
 #[test]
