--- a/scale/src/hollow/thread.rs
+++ b/scale/src/hollow/thread.rs
@@ -23,7 +23,7 @@
 /// The longest sleep: watches may add something that falls due sooner than all that was planned.
 const LONGEST_SLEEP: Duration = Duration::from_millis(5);
 /// Time between two looks at the thread's processor time.
-const PROCESSOR_LOOK: Duration = Duration::from_millis(500);
+const PROCESSOR_LOOK: Duration = Duration::from_millis(50);
 
 /// What the thread is started with.
 pub(super) struct Start {
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -38,6 +38,8 @@
     pub faults: Vec<FaultSpan>,
     /// What control carried for each copy during the load.
     pub control: Vec<ControlUsage>,
+    /// Seconds of processor time of the hollow copies' threads during the load.
+    pub hollow_core_s: f64,
     /// Copies that had not been told the latest version of their list at the end.
     pub lists_behind: Option<usize>,
     /// What the hollow copies had left when they were stopped.
@@ -173,7 +175,7 @@
             MeanMax::of(measured.processes.iter().map(|(_, usage)| value(usage)))
         };
         let hollow_copies = f64::from(scenario.fleet.hollow);
-        let hollow_core = 100.0 * measured.hollow_core_s / run.played_s / hollow_copies;
+        let hollow_core = 100.0 * run.hollow_core_s / run.played_s / hollow_copies;
         Self {
             name: scenario.name.clone(),
             scale: scenario.scale.clone(),
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -134,6 +134,7 @@
     control_used: Vec<ControlUsage>,
     tool: Sampler,
     tool_used: Option<ProcessUsage>,
+    hollow_core_s: f64,
     lists_behind: Option<usize>,
 }
 
@@ -164,12 +165,14 @@
             control_used: Vec::new(),
             tool: Sampler::new(std::process::id()),
             tool_used: None,
+            hollow_core_s: 0.0,
             lists_behind: None,
         });
         let fleet = &*fleet;
+        let ends = start + seconds(self.scenario.duration_s);
         let bar = watch::progress_bar(options.progress, self.scenario.duration_s);
         let ended = tokio::select! {
-            ended = watch::watch(fleet, &self.record, &bar) => Err(ended),
+            ended = watch::watch(fleet, &self.record, &bar, ends) => Err(ended),
             played = play_load(fleet, &self.scenario, &self.topology, &self.record, &self.plan, load) => played,
         };
         bar.finish_and_clear();
@@ -179,7 +182,7 @@
     async fn end(&mut self) -> Result<(), RunError> {
         let Some(fleet) = self.fleet.take() else { return Ok(()) };
         if let Some(load) = &mut self.load {
-            load.finish(&fleet);
+            load.finish(&fleet, &self.record);
             load.lists_behind = Some(fleet.lists_behind());
         }
         self.hollow_end = fleet.end().await?;
@@ -194,6 +197,7 @@
             played_s: load.and_then(|load| load.played_s).unwrap_or_default(),
             faults: self.plan.faults,
             control: load.map(|load| load.control_used.clone()).unwrap_or_default(),
+            hollow_core_s: load.map(|load| load.hollow_core_s).unwrap_or_default(),
             lists_behind: load.and_then(|load| load.lists_behind),
             hollow_end: self.hollow_end,
             tool: load.and_then(|load| load.tool_used),
@@ -205,12 +209,13 @@
 
 impl Load {
     /// Takes the figures at the end of the load, once.
-    fn finish(&mut self, fleet: &Fleet) {
+    fn finish(&mut self, fleet: &Fleet, record: &Record) {
         if self.played_s.is_some() {
             return;
         }
         self.played_s = Some(self.start.elapsed().as_secs_f64());
         self.tool_used = self.tool.look();
+        self.hollow_core_s = record.measured().hollow_core_s;
         let after = fleet.control_usage();
         self.control_used =
             self.control_before.iter().zip(after).map(|(before, after)| used(before, &after)).collect();
@@ -246,7 +251,7 @@
         performer.perform(step.action);
     }
     sleep_until(ends.into()).await;
-    load.finish(fleet);
+    load.finish(fleet, record);
     sleep_until(settled.into()).await;
     performer.finish().await?;
     let ended = timeout(LOAD_ENDS_WITHIN, clients.join_next()).await.map_err(|_| RunError::LoadStuck)?;
--- a/scale/src/run/watch.rs
+++ b/scale/src/run/watch.rs
@@ -22,8 +22,9 @@
     sampler: Sampler,
 }
 
-/// Watches until a real balancer has ended that no fault had ended.
-pub async fn watch(fleet: &Fleet, record: &Record, bar: &ProgressBar) -> RunError {
+/// Watches until a real balancer has ended that no fault had ended. What they use counts until `ends`, the end of the
+/// load.
+pub async fn watch(fleet: &Fleet, record: &Record, bar: &ProgressBar, ends: Instant) -> RunError {
     let start = Instant::now();
     let mut watched = Vec::new();
     for balancer in &fleet.balancers {
@@ -35,8 +36,9 @@
     ticks.tick().await;
     for number in 1_u32.. {
         ticks.tick().await;
+        let sample = number.is_multiple_of(LOOKS_PER_SAMPLE) && Instant::now() <= ends + ALIVE_EVERY;
         for process in &mut watched {
-            if let Some(ended) = process.look(number.is_multiple_of(LOOKS_PER_SAMPLE), record) {
+            if let Some(ended) = process.look(sample, record) {
                 return ended;
             }
         }
