--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,14 +11,17 @@
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use oorandom::Rand64;
 use rustc_hash::FxHashMap;
+use slab::Slab;
 
 use crate::interface::{
-    Action, Allowed, AttemptEnded, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event,
-    ListUpdate, Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time,
+    Action, Allowed, AttemptEnded, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event, KindId,
+    ListUpdate, Member, Outcome, Phase, Request, RequestId, Rules, Settings, SettingsError, TenantId, Time,
     UpstreamId,
 };
 
@@ -146,7 +149,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     total: u32,
-    declined: u32,
+    accepted: u32,
 }
 
 /// The suppressed strategy of the source page for one key.
@@ -166,13 +169,17 @@
 }
 
 impl Suppressor {
+    fn new(bucket_s: f64) -> Self {
+        Self { bucket_s, ..Self::default() }
+    }
+
     fn roll(&mut self, now: f64) {
         let bucket = (now / self.bucket_s) as u64;
         let steps = bucket.saturating_sub(self.current).min(BUCKETS as u64);
         for step in 1..=steps {
             let slot = &mut self.buckets[((self.current + step) % BUCKETS as u64) as usize];
             self.sum.total -= slot.total;
-            self.sum.declined -= slot.declined;
+            self.sum.accepted -= slot.accepted;
             *slot = Bucket::default();
         }
         self.current = self.current.max(bucket);
@@ -180,7 +187,7 @@
 
     fn accepted_rate(&mut self, now: f64) -> f64 {
         self.roll(now);
-        f64::from(self.sum.total - self.sum.declined) / self.span()
+        f64::from(self.sum.accepted) / self.span()
     }
 
     /// Seconds that the window has seen. A fresh copy's empty window would let seconds of overload through
@@ -200,43 +207,39 @@
         if self.current >= self.cast_at {
             (self.cast, self.cast_at) = (rng.rand_float(), self.current + BUCKETS as u64);
         }
-        self.span() * limit - f64::from(self.sum.total - self.sum.declined) > self.cast
+        self.span() * limit - f64::from(self.sum.accepted) > self.cast
     }
 
-    /// Decides on a call, which is to be counted next; `full` is the limit before any drop.
-    fn admit(&mut self, now: f64, limit: f64, full: f64, rng: &mut Rand64) -> bool {
-        let fits = self.fits(now, limit, rng);
-        let below = f64::from(self.sum.total) < self.span() * limit.max(full) * HARD_LIMIT_FACTOR;
-        below && (fits || rng.rand_float() >= self.factor(now, limit))
+    /// Decides on a call, which is to be counted next.
+    fn admit(&mut self, now: f64, limit: &LearnedLimit, rng: &mut Rand64) -> bool {
+        let fits = self.fits(now, limit.rate, rng);
+        let hard_limit = limit.rate.max(limit.full) * HARD_LIMIT_FACTOR;
+        let below = f64::from(self.sum.total) < self.span() * hard_limit;
+        below && (fits || rng.rand_float() >= self.factor(limit.rate))
     }
 
     fn count(&mut self, admitted: bool) {
         let slot = &mut self.buckets[(self.current % BUCKETS as u64) as usize];
         slot.total += 1;
         self.sum.total += 1;
-        if !admitted {
-            slot.declined += 1;
-            self.sum.declined += 1;
-        } else {
+        if admitted {
+            slot.accepted += 1;
+            self.sum.accepted += 1;
             self.cast_at = 0;
         }
     }
 
-    /// The rate of calls: the larger of that of the window and that of the last 1000 ms.
-    fn perceived(&mut self, now: f64) -> f64 {
-        self.roll(now);
-        (f64::from(self.sum.total) / self.span()).max(self.last_second(|bucket| bucket.total))
-    }
-
     fn last_second(&self, count: fn(&Bucket) -> u32) -> f64 {
         let slots = (0..LAST_SECOND).map(|back| self.current.saturating_sub(back) % BUCKETS as u64);
         f64::from(slots.map(|slot| count(&self.buckets[slot as usize])).sum::<u32>())
     }
 
-    fn factor(&mut self, now: f64, limit: f64) -> f64 {
+    /// By the rate of calls: the larger of that of the window and that of the last 1000 ms.
+    fn factor(&mut self, limit: f64) -> f64 {
         if self.factor_bucket.replace(self.current) != Some(self.current) {
-            let perceived = self.perceived(now);
-            self.factor = if perceived > limit { 1.0 - limit / perceived } else { 0.0 };
+            let perceived = f64::from(self.sum.total) / self.span();
+            let perceived = perceived.max(self.last_second(|bucket| bucket.total));
+            self.factor = (1.0 - limit / perceived).max(0.0);
         }
         self.factor
     }
@@ -245,7 +248,7 @@
 // --- 2. Learned limit ---
 
 /// A rate limit learned from what becomes of the calls.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy, Default)]
 struct LearnedLimit {
     rate: f64,
     /// What the copy may need of a quota; 0 where there is none.
@@ -262,14 +265,7 @@
     /// Quotas count requests of the first tier; below it calls are more, and no part of a quota can be told.
     fn new(settings: &Settings, quota: Option<f64>) -> Self {
         let Some(quota) = quota.filter(|&quota| settings.tier == 0 && quota > 0.0) else {
-            return Self {
-                rate: f64::MAX,
-                full: 0.0,
-                fair: f64::MAX,
-                quota: None,
-                ceiling: f64::MAX,
-                usual: 0.0,
-            };
+            return Self { rate: f64::MAX, fair: f64::MAX, ceiling: f64::MAX, ..Self::default() };
         };
         let fair = quota / f64::from(settings.copies);
         let with_chance = |part: f64| part + CHANCE * (part / WINDOW_S).sqrt();
@@ -278,6 +274,32 @@
         Self { rate, full: rate, fair, quota: Some(with_chance(fair)), ceiling, usual: 0.0 }
     }
 
+    /// The limits of the tenants and, last, that of all together: at first what the copy may need of them all, in
+    /// congestion less.
+    fn all(settings: &Settings) -> Vec<Self> {
+        let quotas = settings.tenants.iter().map(|tenant| tenant.quota);
+        let mut limits: Vec<_> = quotas.clone().map(|quota| Self::new(settings, quota)).collect();
+        let mut shared = Self::new(settings, quotas.sum());
+        if shared.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
+            let fair = shared.fair;
+            let rate = fair * uneven(settings.copies);
+            let ceiling = rate.max(fair * (1.0 + EXCESS * fair / (fair + NOTICE)));
+            shared = Self { rate, full: rate, quota: Some(fair), ceiling, ..shared };
+        }
+        limits.push(shared);
+        limits
+    }
+
+    /// This limit in place of another, of whose full rate it had learned to let through a part.
+    fn succeed(self, old: &Self) -> Self {
+        let rate = match (self.quota, old.quota) {
+            (Some(_), Some(_)) => (self.full * (old.rate / old.full).max(0.0)).min(self.ceiling),
+            (None, None) => old.rate,
+            _ => self.rate,
+        };
+        Self { rate, usual: old.usual, ..self }
+    }
+
     fn rise(&mut self) {
         // Up to what is within the quotas the calls denied are the ones that count: come back from a jam faster.
         let rise = if self.rate < self.full { RISE_BELOW } else { RISE };
@@ -316,14 +338,13 @@
 /// The copy's part of the tier.
 #[derive(Debug, Default)]
 struct Subset {
-    /// Members of the own zone.
+    /// Members of the own zone, and of the others.
     home: Group,
-    /// Members of other zones.
     away: Group,
-    /// The part of the calls that stays in the own zone; `None` before the first list.
+    /// The part of the ready upstreams that stands in the own zone.
+    even: f64,
+    /// The part of the calls that stays there; `None` before the first list.
     stay: Option<f64>,
-    /// Members in all.
-    size: usize,
     /// Upstreams ready in the first list, and the part of their capacity that is still had.
     first: Option<usize>,
     had: f64,
@@ -333,9 +354,7 @@
 
 #[derive(Debug, Default)]
 struct Group {
-    /// Upstreams of the group's zones, members or not.
-    listed: usize,
-    members: Vec<usize>,
+    members: Arc<[usize]>,
     /// Calls a second to a warm member, for the cold ones to go by.
     warm_rate: f64,
     /// Calls to warm members since the last sweep.
@@ -349,31 +368,30 @@
     /// and no copy is told: from an even spread on, more stays at home for as long as home is no slower than
     /// elsewhere.
     fn learn_stay(&mut self, price: f64, rng: &mut Rand64) {
-        let even = self.even();
         let Some(stay) = &mut self.stay else { return };
         let worse = self.home.delay > self.away.delay + WORSE + price * WORSE_PRICE;
         let step = if worse { -STAY_STEPS.1 } else { STAY_STEPS.0 };
-        *stay = (*stay + step * between(rng, (0.5, 1.5))).clamp(even.min(1.0), 1.0);
+        *stay = (*stay + step * between(rng, (0.5, 1.5))).clamp(self.even, 1.0);
     }
 
-    fn even(&self) -> f64 {
-        let (home, away) = (self.home.listed as f64, self.away.listed as f64);
-        home / (home + away).max(1.0)
+    fn size(&self) -> usize {
+        self.home.members.len() + self.away.members.len()
     }
 }
 
-/// The part of `count` upstreams that copy `index` of `copies` sends to: an arc of a ring. The starts of the
-/// copies are evenly spaced; a stride spreads neighbours in number, which may share a zone, over the ring.
-fn arc(index: u32, copies: u32, sharers: f64, count: usize) -> impl Iterator<Item = usize> {
-    let size =
-        ((count as f64 * COVER / sharers.max(1.0)).ceil() as usize).clamp(SUBSET_LEAST.min(count), count);
-    let mut stride = (f64::from(copies) * 0.618).round().max(1.0) as u64;
-    while gcd(stride, u64::from(copies)) != 1 {
+/// The part of some upstreams that a copy sends to where so many copies share them: an arc of a ring. The starts of
+/// the copies are evenly spaced; a stride spreads neighbours in number, which may share a zone, over the ring.
+fn arc(settings: &Settings, sharers: f64, slots: &[usize]) -> Arc<[usize]> {
+    let (count, copies) = (slots.len(), u64::from(settings.copies));
+    let size = (count as f64 * COVER / sharers.max(1.0)).ceil() as usize;
+    let mut stride = (copies as f64 * 0.618).round().max(1.0) as u64;
+    while gcd(stride, copies) != 1 {
         stride += 1;
     }
-    let place = u64::from(index) * stride % u64::from(copies);
-    let start = (place * count as u64 / u64::from(copies)) as usize;
-    (0..size).map(move |step| (start + step) % count)
+    let place = u64::from(settings.index) * stride % copies;
+    let start = (place * count as u64 / copies) as usize;
+    let around = slots.iter().cycle().skip(start);
+    around.take(size.clamp(SUBSET_LEAST.min(count), count)).copied().collect()
 }
 
 fn gcd(a: u64, b: u64) -> u64 {
@@ -388,8 +406,6 @@
     member: Member,
     listed: bool,
     home: bool,
-    /// Its place in the slowness of kinds.
-    kind: usize,
     in_flight: u32,
     /// Connections thought to be open, and when one was last used.
     connections: u32,
@@ -417,7 +433,6 @@
             member,
             listed: true,
             home: false,
-            kind: 0,
             in_flight: 0,
             connections: 0,
             used: now,
@@ -448,13 +463,14 @@
     fn warmth(&self, now: f64, settings: &Settings) -> f64 {
         let Some(started) = self.member.started else { return 1.0 };
         let age = (now - started.as_secs_f64()).max(0.0);
-        let share = settings.rules.cold_share;
-        let time = settings.rules.cold_time.as_secs_f64().max(1e-6);
-        (share + (1.0 - share) * age / time).min(1.0)
+        let Rules { cold_share, cold_time, .. } = settings.rules;
+        (cold_share + (1.0 - cold_share) * age / cold_time.as_secs_f64().max(1e-6)).min(1.0)
     }
 
-    fn stalled(&self, now: f64, usual: f64) -> bool {
-        self.in_flight > 0 && now - self.heard > (usual * STALL_TIMES).max(STALL_S)
+    /// Whether it is neither ejected nor stalled, where calls usually take so long.
+    fn healthy(&self, now: f64, usual: f64) -> bool {
+        let stalled = self.in_flight > 0 && now - self.heard > (usual * STALL_TIMES).max(STALL_S);
+        self.ejected_until <= now && !stalled
     }
 
     /// Whether an open connection has room for another attempt.
@@ -472,13 +488,6 @@
 
 // --- 5. Request ledger ---
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AttemptState {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
 #[derive(Debug)]
 struct Attempt {
     slot: usize,
@@ -486,16 +495,18 @@
     sent: f64,
     /// Seconds that it was given.
     given: f64,
-    state: AttemptState,
+    ended: Option<Outcome>,
     withdrawn: bool,
 }
 
 #[derive(Debug)]
 struct Entry {
     class: ClassId,
+    /// That of its class when it arrived, or the strictest.
+    effect: Effect,
     tenant: usize,
-    arrived: f64,
-    deadline: f64,
+    /// The time until which an answer is worth waiting for.
+    useful_until: f64,
     attempts: Vec<Attempt>,
     out: u32,
     closed: bool,
@@ -505,13 +516,13 @@
 impl Entry {
     /// The first attempt not proved never to have run: it binds those that follow.
     fn first_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|attempt| attempt.state != AttemptState::NeverRan)
+        self.attempts.iter().find(|attempt| attempt.ended.is_none_or(|outcome| !outcome.never_ran()))
     }
 
     /// Calls off the attempts still out, but for the one to keep.
     fn withdraw(&mut self, id: RequestId, keep: Option<AttemptNumber>, actions: &mut Vec<Action>) {
         for (number, attempt) in (0..).map(AttemptNumber).zip(&mut self.attempts) {
-            if Some(number) != keep && attempt.state == AttemptState::Out && !attempt.withdrawn {
+            if Some(number) != keep && attempt.ended.is_none() && !attempt.withdrawn {
                 attempt.withdrawn = true;
                 actions.push(Action::Withdraw { request: id, attempt: number });
             }
@@ -570,9 +581,8 @@
     suppressors: Vec<Suppressor>,
     limits: Vec<LearnedLimit>,
     subset: Subset,
-    upstreams: Vec<Upstream>,
-    slots: FxHashMap<UpstreamId, usize>,
-    free: Vec<usize>,
+    upstreams: Slab<Upstream>,
+    slots: BTreeMap<UpstreamId, usize>,
     ready: Vec<usize>,
     /// Share of the calls that met congestion lately, the same of those served, and the time of the next drop for it.
     congestion: f64,
@@ -580,9 +590,9 @@
     drop_after: f64,
     tier_failures: f64,
     tier_slowness: f64,
-    /// Slowness of each kind of machine and, last, of those of no known kind: what is expected of an upstream
+    /// Slowness of the kinds of machine measured, and of those of no known kind: what is expected of an upstream
     /// not yet measured.
-    kind_slowness: Vec<f64>,
+    kind_slowness: FxHashMap<Option<KindId>, f64>,
     latencies: Vec<Latency>,
     ledger: Ledger,
     discovery: Discovery,
@@ -596,36 +606,24 @@
     /// The settings make no sense.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let mut limits: Vec<_> =
-            settings.tenants.iter().map(|tenant| LearnedLimit::new(&settings, tenant.quota)).collect();
-        let mut suppressors: Vec<_> =
-            limits.iter().map(|_| Suppressor { bucket_s: BUCKET_S, ..Suppressor::default() }).collect();
-        // The last is for all tenants together: at first what the copy may need of them all, in congestion less.
-        let mut all = LearnedLimit::new(&settings, settings.tenants.iter().map(|tenant| tenant.quota).sum());
-        if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
-            all.quota = Some(all.fair);
-            all.rate = all.fair * uneven(settings.copies);
-            all.full = all.rate;
-            all.ceiling = all.rate.max(all.fair * (1.0 + EXCESS * all.fair / (all.fair + NOTICE)));
-        }
-        let bucket_s = BUCKET_S * (CALLS / (all.fair * WINDOW_S)).clamp(1.0, 4.0);
-        suppressors.push(Suppressor { bucket_s, ..Suppressor::default() });
-        limits.push(all);
+        let limits = LearnedLimit::all(&settings);
+        let mut suppressors: Vec<_> = limits.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
+        let all = limits.len() - 1;
+        suppressors[all].bucket_s *= (CALLS / (limits[all].fair * WINDOW_S)).clamp(1.0, 4.0);
         Ok(Self {
             rng: Rand64::new(u128::from(seed)),
             suppressors,
             limits,
             subset: Subset { had: 1.0, ..Subset::default() },
-            upstreams: Vec::new(),
-            slots: FxHashMap::default(),
-            free: Vec::new(),
+            upstreams: Slab::new(),
+            slots: BTreeMap::new(),
             ready: Vec::new(),
             congestion: 0.0,
             slowed: 0.0,
             drop_after: 0.0,
             tier_failures: 0.0,
             tier_slowness: 1.0,
-            kind_slowness: vec![1.0; settings.kinds + 1],
+            kind_slowness: FxHashMap::default(),
             latencies: vec![Latency::default(); settings.classes.len()],
             ledger: Ledger { repeats: REPEATS.1 / 2.0, reroutes: REROUTES.1 / 2.0, ..Ledger::default() },
             discovery: Discovery::default(),
@@ -642,10 +640,8 @@
                 actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
                 self.subscribe(now, actions);
             }
-            Event::DiscoveryMoved => {
-                self.discovery = Discovery::default();
-                self.subscribe(now, actions);
-            }
+            Event::DiscoveryMoved => self.subscribe_anew(now, actions),
+            Event::SettingsChanged(settings) => self.reconfigure(now, *settings, actions),
             Event::List(update) => self.learn_list(now, update, actions),
             Event::Request(request) => self.take(now, request, actions),
             Event::StreamStarted { request, attempt } => {
@@ -662,8 +658,51 @@
         }
     }
 
+    /// Puts new settings in force. What was learned stays, and so do the requests held; settings that cannot succeed
+    /// those in force are passed over.
+    fn reconfigure(&mut self, now: f64, settings: Settings, actions: &mut Vec<Action>) {
+        if settings.succeeds(&self.settings).is_err() {
+            return;
+        }
+        for entry in self.ledger.entries.values_mut() {
+            // A request that began under one rule and goes on under another is repeated under neither.
+            let number = entry.class.0;
+            if settings.classes[number].effect != self.settings.classes[number].effect {
+                entry.effect = Effect::Unsafe;
+            }
+        }
+        // New tenants stand behind the others and before the limit of all.
+        let limits = LearnedLimit::all(&settings);
+        let all = self.limits.len() - 1;
+        let added = &limits[all..settings.tenants.len()];
+        self.suppressors.splice(all..all, added.iter().map(|_| Suppressor::new(BUCKET_S)));
+        self.limits.splice(all..all, added.iter().copied());
+        for (old, new) in self.limits.iter_mut().zip(limits) {
+            *old = new.succeed(old);
+        }
+        self.latencies.resize(settings.classes.len(), Latency::default());
+        if settings.zone != self.settings.zone {
+            // What was learned of the own zone and of the others tells nothing of the new ones.
+            let Subset { first, had, in_flight, .. } = self.subset;
+            self.subset = Subset { first, had, in_flight, ..Subset::default() };
+        }
+        let other_time = settings.rules.ask_within != self.settings.rules.ask_within;
+        let asks_anew =
+            settings.discovery != self.settings.discovery || (other_time && !self.discovery.subscribed);
+        self.settings = settings;
+        self.rebuild(actions);
+        if asks_anew {
+            self.subscribe_anew(now, actions);
+        }
+    }
+
     // --- Discovery ---
 
+    fn subscribe_anew(&mut self, now: f64, actions: &mut Vec<Action>) {
+        self.discovery = Discovery::default();
+        self.subscribe(now, actions);
+    }
+
     fn subscribe(&mut self, now: f64, actions: &mut Vec<Action>) {
         if self.settings.discovery == DiscoveryMode::Subscribe {
             actions.push(Action::Subscribe);
@@ -677,7 +716,7 @@
 
     fn learn_list(&mut self, now: f64, update: ListUpdate, actions: &mut Vec<Action>) {
         if matches!(update, ListUpdate::Whole(_) | ListUpdate::StaleCopy(_)) {
-            self.upstreams.iter_mut().for_each(|upstream| upstream.listed = false);
+            self.upstreams.iter_mut().for_each(|(_, upstream)| upstream.listed = false);
         }
         if matches!(update, ListUpdate::Whole(_) | ListUpdate::Patch(_)) {
             self.discovery = Discovery { subscribed: true, ..Discovery::default() };
@@ -714,60 +753,38 @@
                 upstream.restarted(now, &mut self.rng);
             }
         } else if member.phase != Phase::Gone {
-            let upstream = Upstream::new(member, now, &mut self.rng);
-            let slot = self.free.pop().unwrap_or(self.upstreams.len());
-            if slot == self.upstreams.len() {
-                self.upstreams.push(upstream);
-            } else {
-                self.upstreams[slot] = upstream;
-            }
+            let slot = self.upstreams.insert(Upstream::new(member, now, &mut self.rng));
             self.slots.insert(member.id, slot);
         }
     }
 
-    /// Lays out the subset anew; only a list event calls it.
+    /// Lays out the subset anew, by a list or new settings.
     fn rebuild(&mut self, actions: &mut Vec<Action>) {
-        let mut order: Vec<(UpstreamId, usize)> = self.slots.iter().map(|(&id, &slot)| (id, slot)).collect();
-        order.sort_unstable();
         self.ready.clear();
         self.largest_weight = 1e-9;
-        let (mut home, mut away) = (Vec::new(), Vec::new());
-        for (id, slot) in order {
+        self.slots.retain(|&id, &mut slot| {
             let upstream = &mut self.upstreams[slot];
-            upstream.kind =
-                upstream.member.kind.map_or(self.settings.kinds, |kind| kind.0.min(self.settings.kinds));
-            if !upstream.usable() {
-                if upstream.in_flight > 0 {
-                    actions.push(Action::AbortConnects { upstream: id });
-                }
-                if !upstream.listed && upstream.in_flight == 0 {
-                    self.slots.remove(&id);
-                    self.free.push(slot);
-                }
-                continue;
+            if upstream.usable() {
+                upstream.home = upstream.member.zone == Some(self.settings.zone);
+                self.largest_weight = self.largest_weight.max(upstream.member.weight);
+                self.ready.push(slot);
+            } else if upstream.in_flight > 0 {
+                actions.push(Action::AbortConnects { upstream: id });
+            } else if !upstream.listed {
+                self.upstreams.remove(slot);
+                return false;
             }
-            upstream.home = upstream.member.zone == Some(self.settings.zone);
-            self.largest_weight = self.largest_weight.max(upstream.member.weight);
-            self.ready.push(slot);
-            if upstream.home { home.push(slot) } else { away.push(slot) }
-        }
-        if !self.ready.is_empty() {
-            self.subset.first.get_or_insert(self.ready.len());
-        }
-        self.subset.home.listed = home.len();
-        self.subset.away.listed = away.len();
-        if self.subset.stay.is_none() {
-            // Below the first tier the clients stand where the tier above was spread to.
-            self.subset.stay = Some(if self.settings.tier == 0 { self.subset.even() } else { 1.0 });
-        }
-        let (index, copies) = (self.settings.index, self.settings.copies);
-        let here = f64::from(copies) / self.settings.zones as f64;
-        let lay = |slots: &[usize], sharers| {
-            arc(index, copies, sharers, slots.len()).map(|place| slots[place]).collect()
-        };
-        self.subset.home.members = if home.is_empty() { home } else { lay(&home, here) };
-        self.subset.away.members = if away.is_empty() { away } else { lay(&away, f64::from(copies)) };
-        self.subset.size = self.subset.home.members.len() + self.subset.away.members.len();
+            true
+        });
+        let ready = Some(self.ready.len()).filter(|&count| count > 0);
+        self.subset.first = self.subset.first.or(ready);
+        let (home, away): (Vec<_>, Vec<_>) = self.ready.iter().partition(|&&slot| self.upstreams[slot].home);
+        self.subset.even = home.len() as f64 / self.ready.len().max(1) as f64;
+        // Below the first tier the clients stand where the tier above was spread to.
+        self.subset.stay.get_or_insert(if self.settings.tier == 0 { self.subset.even } else { 1.0 });
+        let copies = f64::from(self.settings.copies);
+        self.subset.home.members = arc(&self.settings, copies / self.settings.zones as f64, &home);
+        self.subset.away.members = arc(&self.settings, copies, &away);
     }
 
     // --- A request's way ---
@@ -777,16 +794,19 @@
         if self.ledger.entries.contains_key(&request.id) {
             return;
         }
-        if request.class.0 >= self.settings.classes.len() {
+        let Some(class) = self.settings.classes.get(request.class.0) else {
             return actions.push(Action::Refuse { request: request.id, retry_after: None });
-        }
+        };
         let tenant = request.tenant.map_or(0, |TenantId(tenant)| tenant);
         let tenant = tenant.min(self.settings.tenants.len().saturating_sub(1));
+        let (aim, deadline) = (now + class.aim.as_secs_f64(), now + request.time_left.as_secs_f64());
+        // Where no deadline is passed on, a server's slot would be held for a client long gone.
+        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
         let entry = Entry {
             class: request.class,
+            effect: class.effect,
             tenant,
-            arrived: now,
-            deadline: now + request.time_left.as_secs_f64(),
+            useful_until: if class.late_worth > 0.0 && !blind { deadline } else { deadline.min(aim) },
             attempts: Vec::new(),
             out: 0,
             closed: false,
@@ -810,16 +830,14 @@
         let Self { suppressors, limits, rng, subset: Subset { had, .. }, .. } = self;
         let all = limits.len() - 1;
         // Each tenant's part of what they may send together is its own.
-        let LearnedLimit { rate, fair, .. } = limits[all];
-        let rate = rate * *had;
-        let level = (rate / fair).min(1.0);
+        let rate = limits[all].rate * *had;
+        let level = (rate / limits[all].fair).min(1.0);
         let own = suppressors[tenant].fits(now, limits[tenant].fair * level, rng);
-        let LearnedLimit { rate: limit, full, .. } = limits[tenant];
-        let mut admitted = suppressors[tenant].admit(now, limit, full, rng);
+        let mut admitted = suppressors[tenant].admit(now, &limits[tenant], rng);
         if admitted && all != tenant {
             // After a drop the window still holds what the old limit let in: by it alone all would wait for seconds.
             let room = suppressors[all].fits(now, rate, rng)
-                || suppressors[all].last_second(|bucket| bucket.total - bucket.declined) < rate;
+                || suppressors[all].last_second(|bucket| bucket.accepted) < rate;
             admitted = own || room;
             suppressors[all].count(admitted);
         }
@@ -831,20 +849,10 @@
         self.pick(now, id).is_some_and(|slot| self.send(now, id, slot, actions))
     }
 
-    /// The time until which an answer is worth waiting for.
-    fn useful_until(&self, entry: &Entry) -> f64 {
-        let class = &self.settings.classes[entry.class.0];
-        let aim = entry.arrived + class.aim.as_secs_f64();
-        // Where no deadline is passed on, a server's slot would be held for a client long gone.
-        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
-        if class.late_worth > 0.0 && !blind { entry.deadline } else { entry.deadline.min(aim) }
-    }
-
     /// Picks an upstream for a request: where it may go at all if it may have run, else by its zone.
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let entry = self.ledger.entries.get(&id)?;
-        let effect = self.settings.classes[entry.class.0].effect;
-        let first = entry.first_run();
+        let (effect, first) = (entry.effect, entry.first_run());
         if first.is_none()
             || !matches!(effect, Effect::Keyed { scope: DedupScope::Zone | DedupScope::Cell, .. })
         {
@@ -858,19 +866,15 @@
     /// Two draws from the own zone's members or, for what the own zone's suppressor declines, from the others;
     /// then whatever is left.
     fn pick_plain(&mut self, now: f64, id: RequestId) -> Option<usize> {
-        let home = std::mem::take(&mut self.subset.home.members);
-        let away = std::mem::take(&mut self.subset.away.members);
+        let home = Arc::clone(&self.subset.home.members);
+        let away = Arc::clone(&self.subset.away.members);
         let at_home =
             away.is_empty() || (!home.is_empty() && self.rng.rand_float() < self.subset.stay.unwrap_or(1.0));
         let (first, second) = if at_home { (&home, &away) } else { (&away, &home) };
-        let picked = self
-            .draw_two(now, id, first)
+        self.draw_two(now, id, first)
             .or_else(|| self.draw_two(now, id, second))
             .or_else(|| self.any_left(now, id, first))
-            .or_else(|| self.any_left(now, id, second));
-        self.subset.home.members = home;
-        self.subset.away.members = away;
-        picked
+            .or_else(|| self.any_left(now, id, second))
     }
 
     /// The less busy of two random members, by own calls in flight. Where both are busier than the members
@@ -878,16 +882,13 @@
     /// pile on a server by chance until it chokes.
     fn draw_two(&mut self, now: f64, id: RequestId, from: &[usize]) -> Option<usize> {
         let mut best: Option<usize> = None;
-        let average = f64::from(self.subset.in_flight) / self.subset.size.max(1) as f64;
+        let average = f64::from(self.subset.in_flight) / self.subset.size().max(1) as f64;
         for _ in 0..PAIRS {
-            for _ in 0..2 {
-                let Some(slot) = self.draw(now, id, from) else { continue };
-                let cost = |slot: usize| self.upstreams[slot].cost(now, &self.settings);
-                if best.is_none_or(|best| cost(slot) < cost(best)) {
-                    best = Some(slot);
-                }
-            }
-            if best.is_none_or(|best| self.upstreams[best].cost(now, &self.settings) <= average) {
+            let pair = [self.draw(now, id, from), self.draw(now, id, from)];
+            let cost = |slot: &usize| self.upstreams[*slot].cost(now, &self.settings);
+            let drawn = best.into_iter().chain(pair.into_iter().flatten());
+            best = drawn.min_by(|one, other| cost(one).total_cmp(&cost(other)));
+            if best.is_none_or(|best| cost(&best) <= average) {
                 break;
             }
         }
@@ -902,10 +903,7 @@
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
-            if upstream.ejected_until > now
-                || upstream.stalled(now, usual)
-                || self.ledger.tried(id, upstream.member.id)
-            {
+            if !upstream.healthy(now, usual) || self.ledger.tried(id, upstream.member.id) {
                 continue;
             }
             let chance = upstream.member.weight / self.largest_weight
@@ -921,7 +919,8 @@
 
     /// Latency over the usual: its own or, before the first, that of its kind.
     fn slowness(&self, upstream: &Upstream) -> f64 {
-        if upstream.measured > 0.0 { upstream.slowness } else { self.kind_slowness[upstream.kind] }
+        let kind = || self.kind_slowness.get(&upstream.member.kind).copied().unwrap_or(1.0);
+        if upstream.measured > 0.0 { upstream.slowness } else { kind() }
     }
 
     /// A member that may be sent to at all, the least busy, when draws found none.
@@ -954,31 +953,25 @@
         if !self.cold_allows(now, slot) {
             return false;
         }
-        let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        let class = &self.settings.classes[entry.class.0];
-        let upstream = &self.upstreams[slot];
+        let Some(entry) = self.ledger.entries.get_mut(&id) else { return false };
+        let upstream = &mut self.upstreams[slot];
+        // A time-out at the deadline, off by a rounding, must not send the request once more.
+        let timeout = entry.useful_until - now;
         if entry.closed
             || entry.streaming
-            || now >= entry.deadline
+            || timeout < LEAST_S
             || !upstream.usable()
             || entry.attempts.len() >= self.settings.allowed.attempts as usize
             || (entry.out > 0 && !self.settings.allowed.second_copies)
-            || !may_repeat(now, class.effect, entry.first_run(), &upstream.member)
+            || !may_repeat(now, entry.effect, entry.first_run(), &upstream.member)
         {
             return false;
         }
-        let until = self.useful_until(entry);
-        let timeout = until - now;
         // A repeat whose connection comes up after the window would run again.
-        let start_within = match (class.effect, entry.first_run()) {
+        let start_within = match (entry.effect, entry.first_run()) {
             (Effect::Keyed { window, .. }, Some(first)) => first.sent + window.as_secs_f64() - now,
             _ => timeout,
         };
-        // A time-out at the deadline, off by a rounding, must not send the request once more.
-        if timeout < LEAST_S {
-            return false;
-        }
-        let upstream = &mut self.upstreams[slot];
         if upstream.in_flight == 0 {
             upstream.heard = now;
         }
@@ -996,13 +989,12 @@
             group.warm_sends += 1;
         }
         let member = upstream.member;
-        let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
         entry.attempts.push(Attempt {
             slot,
             member,
             sent: now,
             given: timeout,
-            state: AttemptState::Out,
+            ended: None,
             withdrawn: false,
         });
         entry.out += 1;
@@ -1014,19 +1006,12 @@
 
     /// The ONE path that ends a request unserved: refused where that is true, failed otherwise.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
-        if entry.closed {
-            return;
-        }
-        let class = &self.settings.classes[entry.class.0];
+        let Some(entry) = self.ledger.entries.get(&id).filter(|entry| !entry.closed) else { return };
         let harmless = entry.first_run().is_none()
-            || match class.effect {
-                Effect::Safe => true,
-                Effect::Keyed { scope, .. } => scope == DedupScope::All,
-                Effect::Unsafe => false,
-            };
+            || matches!(entry.effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
         // Told to stay away past its time, a client never comes back; tries within an aim feed the congestion.
-        let retry_after = self.settings.allowed.retry_after.map(|most| most.min(class.aim));
+        let aim = self.settings.classes[entry.class.0].aim;
+        let retry_after = self.settings.allowed.retry_after.map(|most| most.min(aim));
         let refusal = Action::Refuse { request: id, retry_after };
         actions.push(if harmless { refusal } else { Action::Fail { request: id } });
         self.close(id, actions);
@@ -1048,12 +1033,10 @@
         let AttemptEnded { request: id, attempt: number, outcome, finished, .. } = ended;
         let took = ended.took.as_secs_f64();
         let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
-        let Some(attempt) = entry.attempts.get_mut(number.0 as usize) else { return };
-        if attempt.state != AttemptState::Out {
-            return;
-        }
+        let attempt = entry.attempts.get_mut(number.0 as usize).filter(|attempt| attempt.ended.is_none());
+        let Some(attempt) = attempt else { return };
         let slot = attempt.slot;
-        attempt.state = if outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
+        attempt.ended = Some(outcome);
         entry.out -= 1;
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
         let (class, tenant, given) = (entry.class, entry.tenant, attempt.given);
@@ -1064,17 +1047,16 @@
         // one tenant with short deadlines would pass for congestion and have all tenants denied.
         let short_deadline = matches!(outcome, Outcome::Error | Outcome::TimedOut)
             && given < self.latencies[class.0].seconds();
-        self.learn_outcome(now, slot, class, outcome, took, short_deadline);
-        let Upstream { member: Member { id: upstream, .. }, ejected_until, in_flight, .. } =
-            self.upstreams[slot];
-        if ejected_until > now && in_flight > 0 {
-            actions.push(Action::AbortConnects { upstream });
+        self.learn_outcome(now, slot, class, &ended, short_deadline);
+        let upstream = &self.upstreams[slot];
+        if upstream.ejected_until > now && upstream.in_flight > 0 {
+            actions.push(Action::AbortConnects { upstream: upstream.member.id });
         }
         if closed {
             self.close(id, actions);
         }
         let again = !closed && idle && self.try_again(now, id, outcome, actions);
-        if !closed && idle && !again {
+        if idle && !again {
             self.finish(id, actions);
         }
         // A call that was rejected and went elsewhere has met no congestion yet: behind a broken link or one
@@ -1088,14 +1070,12 @@
 
     fn try_again(&mut self, now: f64, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) -> bool {
         let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        if outcome == Outcome::NotSent || now >= self.useful_until(entry) {
-            return false;
+        let useful = outcome != Outcome::NotSent && now < entry.useful_until;
+        let sent = useful && *self.ledger.budget(outcome) >= 1.0 && self.send_somewhere(now, id, actions);
+        if sent {
+            *self.ledger.budget(outcome) -= 1.0;
         }
-        if *self.ledger.budget(outcome) < 1.0 || !self.send_somewhere(now, id, actions) {
-            return false;
-        }
-        *self.ledger.budget(outcome) -= 1.0;
-        true
+        sent
     }
 
     /// What an outcome tells of its upstream and of the zones; nothing if it was `short_deadline`.
@@ -1104,10 +1084,10 @@
         now: f64,
         slot: usize,
         class: ClassId,
-        outcome: Outcome,
-        took: f64,
+        ended: &AttemptEnded,
         short_deadline: bool,
     ) {
+        let (outcome, took) = (ended.outcome, ended.took.as_secs_f64());
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
@@ -1119,7 +1099,6 @@
         {
             upstream.connections = upstream.connections.saturating_sub(1);
         }
-        let home = upstream.home;
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
         if short_deadline || matches!(outcome, Outcome::NotSent | Outcome::Withdrawn) {
             return;
@@ -1140,7 +1119,7 @@
         }
         if usual > 0.0 && matches!(outcome, Outcome::Good | Outcome::TimedOut) {
             let times = (took / usual).min(8.0);
-            let kind = &mut self.kind_slowness[upstream.kind];
+            let kind = self.kind_slowness.entry(upstream.member.kind).or_insert(1.0);
             if upstream.measured == 0.0 {
                 upstream.slowness = *kind;
             }
@@ -1157,13 +1136,14 @@
             if upstream.returning >= 1.0 {
                 upstream.ejection_s = EJECTION_S.0;
             }
-        } else if failed {
-            self.eject(now, slot, out_of_reach);
         }
         let congested = !matches!(outcome, Outcome::Good | Outcome::Error);
-        let group = if home { &mut self.subset.home } else { &mut self.subset.away };
+        let group = if upstream.home { &mut self.subset.home } else { &mut self.subset.away };
         let delay = if congested { took.max(aim) } else { took } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
+        if failed {
+            self.eject(now, slot, out_of_reach);
+        }
     }
 
     /// What the end of a call tells of the congestion that it met, and so of the limits.
@@ -1241,9 +1221,10 @@
             let upstream = &self.upstreams[slot];
             if upstream.ejected_until > now { 0.0 } else { upstream.warmth(now, &self.settings) }
         };
-        let Subset { home, away, first, size, .. } = &self.subset;
-        let part = home.members.iter().chain(&away.members).map(has).sum::<f64>() / (*size).max(1) as f64;
-        let ready = self.ready.len() as f64 / first.unwrap_or(1).max(1) as f64;
+        let Subset { home, away, first, .. } = &self.subset;
+        let members = home.members.iter().chain(&*away.members);
+        let part = members.map(has).sum::<f64>() / self.subset.size().max(1) as f64;
+        let ready = self.ready.len() as f64 / first.unwrap_or(1) as f64;
         let calm = 2.0 * (1.0 - self.congestion / CONGESTED).clamp(0.0, 0.5);
         self.subset.had = (part * ready * (1.0 + SPARE * calm)).clamp(HAD_LEAST, 1.0);
         self.subset.learn_stay(self.settings.prices.cross_zone, &mut self.rng);
