Test that new settings reach a process by what it does, not by its log

The test waited for the new address of discovery in the log, whose wording has changed with the reload of settings. It now waits for the process to connect there, which is what the change is for.

--- a/scale/src/process/balancer/tests.rs
+++ b/scale/src/process/balancer/tests.rs
@@ -79,6 +79,16 @@
     }
 }
 
+/// Waits until somebody connects.
+fn wait_connected(control: &TcpListener) {
+    let start = Instant::now();
+    control.set_nonblocking(true).expect("a socket");
+    while control.accept().is_err() {
+        assert!(start.elapsed() < LONG, "nobody connects");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// Binds as one who does not share addresses.
 fn plain_bind(address: SocketAddr) -> Result<(), ErrorKind> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -132,7 +142,7 @@
     let moved = silent_control();
     let listen = process.address();
     process.replace_configuration(&text(&moved, listen, None)).expect("signalled");
-    wait_logged(&directory, &moved.local_addr().expect("bound").to_string());
+    wait_connected(&moved);
     process
         .replace_configuration(&text(&control, listen, Some(SettingsChange::Malformed)))
         .expect("signalled");
