--- a/scale/src/scenario/machine.rs
+++ b/scale/src/scenario/machine.rs
@@ -9,7 +9,7 @@
 use super::load::{KeyError, Reason};
 
 /// Memory of a hollow copy with its modelled node, in megabytes; an estimate with room.
-const HOLLOW_MB: u64 = 4;
+const HOLLOW_MB: u64 = 1;
 /// Memory of the tool itself, in megabytes.
 const TOOL_MB: u64 = 100;
 /// Descriptors of a hollow copy: its control listener and both ends of its watch.
