Log each call to discovery, list, attempt and end of a request, and count them at /_metrics

Change: the log goes through tracing, with PROXY_LOG for its level (a level that does not exist is refused); the module reports why it ends a request and when it ejects an upstream, typed, in place of free text; counters in OpenMetrics text at /_metrics. Tests that compared whole lists of actions leave reports out, which ask for nothing; the test that read the next line of the log reads the next on the configuration.

--- a/dahliahead/src/directory.rs
+++ b/dahliahead/src/directory.rs
@@ -29,6 +29,7 @@
 
 #[derive(Debug)]
 struct Listed {
+    name: Box<str>,
     address: SocketAddr,
     since_ms: u64,
     ready: bool,
@@ -62,6 +63,19 @@
         self.ids.get(name).copied()
     }
 
+    /// The name of an upstream that is listed.
+    #[must_use]
+    pub fn name(&self, upstream: UpstreamId) -> Option<&str> {
+        self.listed.get(&upstream).map(|listed| &*listed.name)
+    }
+
+    /// How many of the upstreams listed take requests, and how many do not.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let ready = self.listed.values().filter(|listed| listed.ready).count();
+        (ready, self.listed.len() - ready)
+    }
+
     /// Whether an upstream is listed, ready or not.
     #[must_use]
     pub fn lists(&self, upstream: UpstreamId) -> bool {
@@ -85,7 +99,7 @@
                     seen.insert(member.id);
                     members.push(member);
                 }
-                None => crate::log(format_args!("passed over a malformed entry of the list: {endpoint:?}")),
+                None => tracing::warn!(?endpoint, "passed over a malformed entry of the list"),
             }
         }
         let list = match origin {
@@ -120,7 +134,8 @@
             // A drain holds, whatever has become of the address.
             let known = self.listed.get(&id).filter(|_| phase == Phase::Draining).map(|known| known.address);
             let address = endpoint.address.parse().ok().or(known)?;
-            let listed = Listed { address, since_ms: endpoint.since_ms, ready: phase == Phase::Ready };
+            let name = endpoint.name.as_str().into();
+            let listed = Listed { name, address, since_ms: endpoint.since_ms, ready: phase == Phase::Ready };
             let before = self.listed.insert(id, listed);
             if before.is_some_and(|before| before.since_ms != endpoint.since_ms) {
                 restarted.push(id);
--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
+use crate::metrics::WatchEnd;
 use crate::permit::Permit;
 use crate::upstream::{self, Dial};
 
@@ -34,7 +35,7 @@
     let read = |raw: &RawValue| {
         serde_json::from_str(raw.get())
             .inspect_err(|error| {
-                crate::log(format_args!("passed over a malformed entry of the list: {error}"))
+                tracing::warn!(%error, "passed over an entry of the list that cannot be read");
             })
             .ok()
     };
@@ -107,6 +108,20 @@
     Json(#[from] serde_json::Error),
 }
 
+impl WatchError {
+    /// The kind of end, for the metrics.
+    #[must_use]
+    pub fn kind(&self) -> WatchEnd {
+        match self {
+            Self::Connect => WatchEnd::Connect,
+            Self::Silent => WatchEnd::Silent,
+            Self::Status(_) => WatchEnd::Status,
+            Self::Http(_) | Self::Ended => WatchEnd::Broken,
+            Self::LongWord | Self::Json(_) => WatchEnd::Malformed,
+        }
+    }
+}
+
 /// Names a watch; each of a copy has a higher number than those before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WatchNumber(pub u64);
@@ -143,7 +158,9 @@
     request: WatchRequest,
 ) -> Result<std::convert::Infallible, WatchError> {
     let WatchRequest { address, since, number } = request;
-    let mut silent_at = Instant::now() + FIRST_WORD;
+    let asked = Instant::now();
+    tracing::info!(watch = number.0, %address, since, "asks discovery for a watch");
+    let mut silent_at = asked + FIRST_WORD;
     let dial = Dial { address, patience: FIRST_WORD };
     let mut conn =
         upstream::connect(events.reserve_descriptor(), dial).await.map_err(|_| WatchError::Connect)?;
@@ -153,6 +170,8 @@
         .unwrap_or_default();
     let response =
         timeout_at(silent_at, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+    let (status, after_ms) = (response.status(), asked.elapsed().as_millis());
+    tracing::info!(watch = number.0, status = status.as_u16(), after_ms, "discovery answers");
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
     AttemptEnded, AttemptNumber, ClassId, ListUpdate, Outcome, Request, RequestId, SettingsError, TenantId,
     UpstreamId,
 };
+use peathatch::report::{EndReason, Report};
 use peathatch::{Action, Balancer, Event};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, oneshot};
@@ -23,6 +25,7 @@
 use crate::directory::{Directory, Origin};
 use crate::discovery::{self, Update, WatchError, WatchEvents, WatchNumber};
 use crate::in_force::InForce;
+use crate::metrics::{self, Metrics};
 use crate::permit::Permit;
 use crate::reload::{Changes, ReloadError};
 use crate::subscription::Subscription;
@@ -110,6 +113,7 @@
     in_force: RefCell<Rc<InForce>>,
     reconfigured: Notify,
     clock: Clock,
+    metrics: Metrics,
     sockets: Rc<Cell<usize>>,
     /// When the program ends, once that is known.
     ends: Cell<Option<Instant>>,
@@ -139,6 +143,7 @@
             in_force: RefCell::new(Rc::new(in_force)),
             reconfigured: Notify::new(),
             clock,
+            metrics: Metrics::new(),
             sockets: Rc::new(Cell::new(0)),
             ends: Cell::new(None),
         });
@@ -168,6 +173,20 @@
         Rc::clone(&self.in_force.borrow())
     }
 
+    /// The counters.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// All figures for the operator as text.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        let open = self.core.borrow().requests.len();
+        self.metrics.measured(open, self.sockets.get() + OTHER_DESCRIPTORS);
+        self.metrics.text()
+    }
+
     /// Puts a configuration in force, whole or not at all; what is in flight goes on.
     ///
     /// # Errors
@@ -294,6 +313,8 @@
             }
             let id = RequestId(core.next_request);
             core.next_request += 1;
+            let (client_id, class) = (taken.call.id.as_bytes().escape_ascii(), taken.class.0);
+            tracing::debug!(id = %client_id, class, "request taken");
             let held =
                 Held { call: taken.call, deadline, answer: Some(answer), attempts: Vec::new(), out: 0 };
             core.requests.insert(id, held);
@@ -319,6 +340,8 @@
             if held.answer.take().is_none() {
                 return;
             }
+            tracing::debug!(id = %held.client_id(), "client left or out of time");
+            self.metrics.request_answered(metrics::Answer::Abandoned);
             // What waits for its connection, or has not gone out whole, goes to nobody's benefit. Closed before
             // its last byte it never runs, so that this needs no leave to cancel.
             for attempt in &mut held.attempts {
@@ -335,8 +358,18 @@
     pub fn attempt_ended(self: &Rc<Self>, job: &Job, took: Duration, ended: Ended) {
         let finished = {
             let mut core = self.core.borrow_mut();
-            let Some(held) = core.requests.get_mut(&job.request) else { return };
+            let Core { requests, directory, .. } = &mut *core;
+            let Some(held) = requests.get_mut(&job.request) else { return };
             held.out -= 1;
+            self.metrics.attempt_ended(ended.outcome);
+            tracing::debug!(
+                id = %held.client_id(),
+                attempt = job.attempt.0,
+                upstream = directory.name(job.upstream).unwrap_or("unlisted"),
+                outcome = ?ended.outcome,
+                took_ms = took.as_millis(),
+                "attempt ended"
+            );
             if let Some(attempt) = held.attempts.get_mut(job.attempt.0 as usize) {
                 *attempt = None;
             }
@@ -394,6 +427,12 @@
                 }
                 None => false,
             });
+            let (ready, draining) = directory.counts();
+            self.metrics.list_changed(update.index, ready, draining);
+            if !update.endpoints.is_empty() || update.snapshot {
+                let (version, whole, entries) = (update.index, update.snapshot, update.endpoints.len());
+                tracing::info!(?origin, version, whole, entries, ready, draining, "list changed");
+            }
             change.list
         };
         self.handle(Event::List(list));
@@ -431,6 +470,7 @@
             Action::Refuse { request, retry_after } => core.answer(request, Answer::Refused { retry_after }),
             Action::Fail { request } => core.answer(request, Answer::Failed),
             Action::Subscribe => {
+                self.metrics.watch_asked();
                 core.subscription
                     .renew(|request| spawn_local(discovery::watch(Rc::clone(self), request)).abort_handle());
             }
@@ -459,7 +499,26 @@
                     driver.handle(Event::Wake);
                 });
             }
-            Action::Log(text) => crate::log(format_args!("{text}")),
+            Action::Report(report) => self.report(core, report),
+        }
+    }
+
+    fn report(&self, core: &Core, report: Report) {
+        let name = |upstream| core.directory.name(upstream).unwrap_or("unlisted");
+        match report {
+            Report::RequestEnded { request, reason } => {
+                self.metrics.request_unserved(reason.into());
+                let Some(held) = core.requests.get(&request) else { return };
+                let last_attempt = match reason {
+                    EndReason::AttemptFailed(outcome) => Some(outcome),
+                    EndReason::Suppressed | EndReason::NoUpstream => None,
+                };
+                tracing::debug!(id = %held.client_id(), ?reason, ?last_attempt, "request ended unserved");
+            }
+            Report::Ejected { upstream, span } => {
+                self.metrics.ejected();
+                tracing::debug!(upstream = name(upstream), span_ms = span.as_millis(), "upstream ejected");
+            }
         }
     }
 
@@ -486,6 +545,13 @@
                 load: None,
             }));
         };
+        self.metrics.attempt_begun(attempt.0 > 0);
+        tracing::debug!(
+            id = %held.client_id(),
+            attempt = attempt.0,
+            upstream = core.directory.name(upstream).unwrap_or("unlisted"),
+            "attempt begun"
+        );
         let asked = Instant::now();
         let until = timeout.map_or(held.deadline, |span| held.deadline.min(asked + span));
         let (end, ended) = oneshot::channel();
@@ -509,7 +575,8 @@
         if !self.core.borrow_mut().subscription.broke(watch) {
             return;
         }
-        crate::log(format_args!("the watch on discovery broke: {reason}"));
+        self.metrics.watch_ended(reason.kind());
+        tracing::warn!(watch = watch.0, "the watch on discovery broke: {reason}");
         self.handle(Event::List(ListUpdate::Broken));
     }
 
@@ -518,6 +585,13 @@
     }
 }
 
+impl Held {
+    /// The id that the client gave, for the log.
+    fn client_id(&self) -> impl Display {
+        self.call.id.as_bytes().escape_ascii()
+    }
+}
+
 impl Core {
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(held) = self.requests.get_mut(&id) else { return };
--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -4,9 +4,6 @@
 //! One thread, one runtime: [`driver::Driver`] owns the state behind a `RefCell` that is never
 //! borrowed across an await.
 
-use std::fmt::Arguments;
-use std::io::Write;
-
 pub mod clock;
 pub mod config;
 pub mod directory;
@@ -14,14 +11,10 @@
 pub mod driver;
 pub mod framing;
 pub mod in_force;
+pub mod logging;
+pub mod metrics;
 pub mod permit;
 pub mod reload;
 pub mod server;
 pub mod subscription;
 pub mod upstream;
-
-/// Writes a line for the operator. A log that nobody reads any more must not end the program, as `eprintln!`
-/// would.
-pub fn log(line: Arguments<'_>) {
-    let _ = writeln!(std::io::stderr(), "dahliahead: {line}");
-}
--- a/dahliahead/src/main.rs
+++ b/dahliahead/src/main.rs
@@ -4,13 +4,17 @@
 use std::process::ExitCode;
 
 use dahliahead::config::{Config, ConfigError};
-use dahliahead::server;
+use dahliahead::{logging, server};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
 
 fn main() -> ExitCode {
+    if let Err(error) = logging::start() {
+        eprintln!("dahliahead: {error}");
+        return ExitCode::FAILURE;
+    }
     let config = match Config::from_environment() {
         Ok(config) => config,
         Err(error) => {
--- a/dahliahead/src/reload.rs
+++ b/dahliahead/src/reload.rs
@@ -158,8 +158,8 @@
 pub async fn follow(driver: Rc<Driver>, mut replaced: UnboundedReceiver<Result<Config, ConfigError>>) {
     while let Some(config) = replaced.recv().await {
         match config.map_err(ReloadError::from).and_then(|config| driver.reconfigure(config)) {
-            Ok(changes) => crate::log(format_args!("configuration applied: {changes}")),
-            Err(error) => crate::log(format_args!("goes on with the old configuration: {error}")),
+            Ok(changes) => tracing::info!("configuration applied: {changes}"),
+            Err(error) => tracing::warn!("goes on with the old configuration: {error}"),
         }
     }
 }
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use http_body_util::{Full, LengthLimitError};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -34,6 +34,7 @@
 use crate::driver::{Answer, Driver, Taken};
 use crate::framing::{Ambiguous, InspectedStream, Unread};
 use crate::in_force::InForce;
+use crate::metrics::{self, Close, Reason};
 use crate::reload;
 use crate::upstream::{BODY_MOST, Call, read_body};
 
@@ -83,6 +84,8 @@
 const HEAD_MOST: usize = 16 * 1024;
 /// The header by which upstreams know a repeat.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Where the operator's figures are.
+const METRICS_PATH: &str = "/_metrics";
 /// Wait after a failed accept, so that running out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -227,7 +230,7 @@
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let listener = TcpListener::bind(config.listen).await?;
-    crate::log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
+    tracing::info!("{} listens on {}", config.name, listener.local_addr()?);
     serve_on(listener, config, replaced, stop).await
 }
 
@@ -282,10 +285,11 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => clients.accept(stream),
                 Err(error) => {
+                    clients.driver.metrics().accept_failed();
                     // Out of descriptors, most likely: the loop goes on with one given up.
                     // At most a line a second, or the log would cost more than the trouble.
                     if logged.is_none_or(|at| at.elapsed() >= Duration::from_secs(1)) {
-                        crate::log(format_args!("a connection could not be accepted: {error}"));
+                        tracing::warn!(%error, "a connection could not be accepted");
                         logged = Some(Instant::now());
                     }
                     clients.make_room();
@@ -332,17 +336,25 @@
     let closing = async {
         tokio::select! {
             // An error means that the program is ending.
-            _ = phases.wait_for(|&phase| phase != Phase::Serving) => {}
+            _ = phases.wait_for(|&phase| phase != Phase::Serving) => Close::ShuttingDown,
             // Its socket is wanted now; it has been idle for long, and its last answer has arrived.
-            () = link.close.notified() => link.ended.set(true),
+            () = link.close.notified() => {
+                link.ended.set(true);
+                Close::Evicted
+            }
         }
     };
-    tokio::select! {
+    let reason = tokio::select! {
         biased;
-        _ = served.as_mut() => return linger(&stream, link).await,
-        () = closing => {}
-        () = expired(link) => {}
-    }
+        _ = served.as_mut() => {
+            clients.driver.metrics().connection_closed(Close::Served);
+            return linger(&stream, link).await;
+        }
+        reason = closing => reason,
+        () = expired(link) => Close::Idle,
+    };
+    clients.driver.metrics().connection_closed(reason);
+    tracing::debug!(?reason, used = link.used.get(), "client connection to be closed");
     // A request that is coming in is taken first, also where the runtime has not yet heard of it: its last byte may be
     // on its way, and would be lost.
     let asked = Instant::now();
@@ -481,6 +493,11 @@
         let status = if driver.can_serve() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return plain(status, "");
     }
+    if request.uri().path() == METRICS_PATH {
+        let mut response = plain(StatusCode::OK, driver.metrics_text());
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(metrics::MEDIA_TYPE));
+        return response;
+    }
     // Where a chunked body ends is not noted, so that what follows it would be read unseen.
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let answer = async {
@@ -491,13 +508,23 @@
         }
         // No socket is left for an attempt either, or no connection for clients; nothing has run.
         if driver.full() || clients.lacks_idle() {
+            let reason = if driver.full() { Reason::Descriptors } else { Reason::ShuttingDown };
+            driver.metrics().request_unserved(reason);
+            tracing::debug!(id = %taken.call.id.as_bytes().escape_ascii(), ?reason, "request refused");
             return Ok(Answer::Refused { retry_after: driver.in_force().retry_after() });
         }
         answer(clients, taken, unread.left(stream)).await.ok_or(BadRequest::Open)
     };
     let (mut response, closes) = match answer.await {
-        Ok(answer) => (final_answer(answer), chunked),
-        Err(error) => (plain(error.status(), error.to_string()), chunked || error.closes()),
+        Ok(answer) => {
+            driver.metrics().request_answered(counted(&answer));
+            (final_answer(answer), chunked)
+        }
+        Err(error) => {
+            driver.metrics().request_answered(metrics::Answer::Malformed);
+            tracing::debug!(%error, "request rejected");
+            (plain(error.status(), error.to_string()), chunked || error.closes())
+        }
     };
     if closes || unread.is_overrun() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -505,6 +532,14 @@
     response
 }
 
+fn counted(answer: &Answer) -> metrics::Answer {
+    match answer {
+        Answer::Served(_) => metrics::Answer::Served,
+        Answer::Refused { .. } => metrics::Answer::Refused,
+        Answer::Failed => metrics::Answer::Failed,
+    }
+}
+
 fn final_answer(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
         Answer::Served(body) => Response::new(Full::new(body)),
--- a/dahliahead/tests/reload.rs
+++ b/dahliahead/tests/reload.rs
@@ -85,6 +85,11 @@
         std::fs::write(&self.file, bytes).expect("written");
         let sent = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status().expect("sent");
         assert!(sent.success());
+        self.next_line_on_configuration()
+    }
+
+    /// The log's next line that tells of a configuration.
+    fn next_line_on_configuration(&mut self) -> String {
         loop {
             let mut line = String::new();
             assert!(self.log.read_line(&mut line).expect("a line") > 0, "the program ended");
@@ -190,8 +195,7 @@
     std::fs::create_dir(&program.file).expect("created");
     let sent = Command::new("kill").args(["-HUP", &program.child.id().to_string()]).status().expect("sent");
     assert!(sent.success());
-    let mut line = String::new();
-    program.log.read_line(&mut line).expect("a line");
+    let line = program.next_line_on_configuration();
     assert!(line.contains("goes on with the old configuration: cannot read"), "{line}");
     std::fs::remove_dir(&program.file).expect("it is there");
     assert!(new.next_watch().is_none(), "discovery moved without its settings");
--- a/scale/src/hollow/host.rs
+++ b/scale/src/hollow/host.rs
@@ -249,7 +249,7 @@
                 let life = self.copies[copy].life;
                 self.schedule.add(self.now + span, Due::Wake { copy, life });
             }
-            Action::Log(text) => tracing::debug!(copy = self.name(copy), "{text}"),
+            Action::Report(report) => tracing::debug!(copy = self.name(copy), ?report, "decided"),
         }
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,7 @@
     ListUpdate, Member, Outcome, Phase, Request, RequestId, Rules, Settings, SettingsError, TenantId, Time,
     UpstreamId,
 };
+use crate::report::{EndReason, Report};
 
 // --- Constants: unit and reason. Figures of a site come with the settings, never from here. ---
 
@@ -814,13 +815,13 @@
         };
         self.ledger.entries.insert(request.id, entry);
         if !self.admit(now, tenant) {
-            return self.finish(request.id, actions);
+            return self.finish(request.id, EndReason::Suppressed, actions);
         }
         // Only admitted calls earn further attempts: a storm of denied ones must not pay for them.
         self.ledger.repeats = (self.ledger.repeats + REPEATS.0).min(REPEATS.1);
         self.ledger.reroutes = (self.ledger.reroutes + REROUTES.0).min(REROUTES.1);
         if !self.send_somewhere(now, request.id, actions) {
-            self.finish(request.id, actions);
+            self.finish(request.id, EndReason::NoUpstream, actions);
         }
     }
 
@@ -1005,7 +1006,7 @@
     }
 
     /// The ONE path that ends a request unserved: refused where that is true, failed otherwise.
-    fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn finish(&mut self, id: RequestId, reason: EndReason, actions: &mut Vec<Action>) {
         let Some(entry) = self.ledger.entries.get(&id).filter(|entry| !entry.closed) else { return };
         let harmless = entry.first_run().is_none()
             || matches!(entry.effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
@@ -1013,6 +1014,7 @@
         let aim = self.settings.classes[entry.class.0].aim;
         let retry_after = self.settings.allowed.retry_after.map(|most| most.min(aim));
         let refusal = Action::Refuse { request: id, retry_after };
+        actions.push(Action::Report(Report::RequestEnded { request: id, reason }));
         actions.push(if harmless { refusal } else { Action::Fail { request: id } });
         self.close(id, actions);
     }
@@ -1047,7 +1049,7 @@
         // one tenant with short deadlines would pass for congestion and have all tenants denied.
         let short_deadline = matches!(outcome, Outcome::Error | Outcome::TimedOut)
             && given < self.latencies[class.0].seconds();
-        self.learn_outcome(now, slot, class, &ended, short_deadline);
+        self.learn_outcome(now, slot, class, &ended, short_deadline, actions);
         let upstream = &self.upstreams[slot];
         if upstream.ejected_until > now && upstream.in_flight > 0 {
             actions.push(Action::AbortConnects { upstream: upstream.member.id });
@@ -1057,7 +1059,7 @@
         }
         let again = !closed && idle && self.try_again(now, id, outcome, actions);
         if idle && !again {
-            self.finish(id, actions);
+            self.finish(id, EndReason::AttemptFailed(outcome), actions);
         }
         // A call that was rejected and went elsewhere has met no congestion yet: behind a broken link or one
         // full server the tenant's limit would drop although its calls are served. Refusals by two servers in
@@ -1086,6 +1088,7 @@
         class: ClassId,
         ended: &AttemptEnded,
         short_deadline: bool,
+        actions: &mut Vec<Action>,
     ) {
         let (outcome, took) = (ended.outcome, ended.took.as_secs_f64());
         let usual = self.latencies[class.0].seconds();
@@ -1142,7 +1145,9 @@
         let delay = if congested { took.max(aim) } else { took } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
         if failed {
-            self.eject(now, slot, out_of_reach);
+            let ejected = self.eject(now, slot, out_of_reach);
+            let upstream = self.upstreams[slot].member.id;
+            actions.extend(ejected.map(|span| Action::Report(Report::Ejected { upstream, span })));
         }
     }
 
@@ -1189,21 +1194,23 @@
     }
 
     /// Ejects an upstream where it fails and the tier does not; one out of reach in any case.
-    fn eject(&mut self, now: f64, slot: usize, out_of_reach: bool) {
+    fn eject(&mut self, now: f64, slot: usize, out_of_reach: bool) -> Option<Duration> {
         let upstream = &self.upstreams[slot];
         let tier = if out_of_reach { 0.0 } else { FAIL_OVER.1 * self.tier_failures };
         if upstream.failures < FAIL_OVER.0 + tier || upstream.ejected_until > now {
-            return;
+            return None;
         }
         let group = if upstream.home { &self.subset.home } else { &self.subset.away };
         let ejected = group.members.iter().filter(|&&slot| self.upstreams[slot].ejected_until > now).count();
         if !out_of_reach && (ejected + 1) as f64 > (group.members.len() as f64 * EJECTED_MOST).max(1.0) {
-            return;
+            return None;
         }
         let upstream = &mut self.upstreams[slot];
-        upstream.ejected_until = now + upstream.ejection_s * between(&mut self.rng, (0.75, 1.25));
+        let span = upstream.ejection_s * between(&mut self.rng, (0.75, 1.25));
+        upstream.ejected_until = now + span;
         upstream.ejection_s = (upstream.ejection_s * 2.0).min(EJECTION_S.1);
         upstream.returning = RETURN_AT;
+        Some(Duration::from_secs_f64(span))
     }
 
     // --- Sweep ---
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,6 +7,8 @@
 
 use thiserror::Error;
 
+use crate::report::Report;
+
 /// A point in time: the time since any fixed moment of the embedding program's clock.
 pub type Time = Duration;
 
@@ -537,6 +539,6 @@
     },
     /// Deliver [`Event::Wake`] after this long.
     WakeAfter(Duration),
-    /// A line for the operator's log.
-    Log(String),
+    /// Tell the operator of a decision.
+    Report(Report),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 
 mod decide;
 pub mod interface;
+pub mod report;
 
 pub use decide::Balancer;
 pub use interface::{Action, Event, Settings};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,9 +46,11 @@
         Self { balancer, now: START, next_id: 0, next_wake: START }
     }
 
+    /// What is asked for; reports for the operator ask for nothing.
     pub fn tell(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.balancer.handle(self.now, event, &mut actions);
+        actions.retain(|action| !matches!(action, Action::Report(_)));
         actions
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -268,7 +268,7 @@
                 }));
             }
             Action::DropIdle { upstream } => assert!(self.list.contains_key(&upstream)),
-            Action::Log(_) => {}
+            Action::Report(_) => {}
         }
     }
 
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -434,7 +434,7 @@
         | Action::AbortConnects { .. }
         | Action::DropIdle { .. }
         | Action::WakeAfter(_)
-        | Action::Log(_) => None,
+        | Action::Report(_) => None,
     }
 }
 
@@ -472,7 +472,8 @@
         Action::Probe { upstream } => writeln!(output, "POLL\t{}", upstream.0),
         Action::DropIdle { upstream } => writeln!(output, "DROP_CONNS\t{}", upstream.0),
         Action::WakeAfter(span) => writeln!(output, "AFTER\t{:.6}\tsweep", span.as_secs_f64()),
-        Action::Log(text) => writeln!(output, "DEBUG\t{text}"),
+        // Each line would be paid for by the copies that the wire measures.
+        Action::Report(_) => Ok(()),
     }
 }
 
