Trust a list that nothing confirms only until a change could count as told

Ruled out: a lost update (discovery wrote none), a late attempt (cases go on for seconds). Class: cached control state without a lease. Change: src/list_trust.rs. A list without a subscription holds until what it may miss could count as told (6 s; 2 s after an end that may stand for a change, until the next call is decided; 4 s after a move; from the first request on for one of unknown age); past that a server is used only within 2 s of a request that it accepted. Silence counts from the last word, a discovery where nobody listens tells nothing, a word where discovery was confirms nothing.

--- a/dahliahead/src/directory.rs
+++ b/dahliahead/src/directory.rs
@@ -16,6 +16,8 @@
     Configuration,
     /// A watch.
     Watch,
+    /// A watch that another one is to take the place of.
+    FormerWatch,
 }
 
 /// What an update of the list comes to.
@@ -104,8 +106,8 @@
         }
         let list = match origin {
             Origin::Configuration => ListUpdate::StaleCopy(members),
-            Origin::Watch if update.snapshot => ListUpdate::Whole(members),
-            Origin::Watch => ListUpdate::Patch(members),
+            Origin::Watch | Origin::FormerWatch if update.snapshot => ListUpdate::Whole(members),
+            Origin::Watch | Origin::FormerWatch => ListUpdate::Patch(members),
         };
         if !matches!(list, ListUpdate::Patch(_)) {
             self.listed.retain(|id, _| seen.contains(id));
--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of upstreams: its form and the watch on its changes.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 
 use crate::metrics::WatchEnd;
 use crate::permit::Permit;
-use crate::upstream::{self, Dial};
+use crate::upstream::{self, ConnectError, Dial};
 
 /// A word from discovery: the whole list or what changed.
 #[derive(Debug, Clone, Deserialize, Serialize)]
@@ -85,12 +86,18 @@
 /// Why a watch ended.
 #[derive(Debug, Error)]
 pub enum WatchError {
-    /// Discovery took no connection in time.
-    #[error("no connection")]
-    Connect,
+    /// Nobody listens there.
+    #[error("nobody listens")]
+    Unreachable,
+    /// No connection came up.
+    #[error("no connection: {0}")]
+    Connect(ConnectError),
     /// No whole word came in time.
     #[error("silent for too long")]
-    Silent,
+    Silent {
+        /// How long ago the latest word came, if any did.
+        heard: Option<Duration>,
+    },
     /// Discovery answered with another status than 200.
     #[error("answered {0}")]
     Status(StatusCode),
@@ -108,13 +115,26 @@
     Json(#[from] serde_json::Error),
 }
 
+impl From<ConnectError> for WatchError {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            // Only this says that nobody is there; what else may fail is on the way, or our own.
+            ConnectError::Failed(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Self::Unreachable
+            }
+            error => Self::Connect(error),
+        }
+    }
+}
+
 impl WatchError {
     /// The kind of end, for the metrics.
     #[must_use]
     pub fn kind(&self) -> WatchEnd {
         match self {
-            Self::Connect => WatchEnd::Connect,
-            Self::Silent => WatchEnd::Silent,
+            Self::Unreachable => WatchEnd::Unreachable,
+            Self::Connect(_) => WatchEnd::Connect,
+            Self::Silent { .. } => WatchEnd::Silent,
             Self::Status(_) => WatchEnd::Status,
             Self::Http(_) | Self::Ended => WatchEnd::Broken,
             Self::LongWord | Self::Json(_) => WatchEnd::Malformed,
@@ -162,14 +182,14 @@
     tracing::info!(watch = number.0, %address, since, "asks discovery for a watch");
     let mut silent_at = asked + FIRST_WORD;
     let dial = Dial { address, patience: FIRST_WORD };
-    let mut conn =
-        upstream::connect(events.reserve_descriptor(), dial).await.map_err(|_| WatchError::Connect)?;
+    let mut conn = upstream::connect(events.reserve_descriptor(), dial).await?;
     let request = Request::get(format!("/catalog/members?follow=1&since={since}"))
         .header(header::HOST, address.to_string())
         .body(Full::<Bytes>::default())
         .unwrap_or_default();
-    let response =
-        timeout_at(silent_at, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+    let response = timeout_at(silent_at, conn.sender.send_request(request))
+        .await
+        .map_err(|_| WatchError::Silent { heard: None })??;
     let (status, after_ms) = (response.status(), asked.elapsed().as_millis());
     tracing::info!(watch = number.0, status = status.as_u16(), after_ms, "discovery answers");
     if response.status() != StatusCode::OK {
@@ -177,10 +197,12 @@
     }
     let mut body = response.into_body();
     let mut words = Words::default();
-    let mut heard = false;
+    let mut heard_at: Option<Instant> = None;
     loop {
         // Bytes alone are no word: ones that keep coming and come to no end must not pass for a watch.
-        let frame = timeout_at(silent_at, body.frame()).await.map_err(|_| WatchError::Silent)?;
+        let frame = timeout_at(silent_at, body.frame())
+            .await
+            .map_err(|_| WatchError::Silent { heard: heard_at.map(|at| at.elapsed()) })?;
         let Ok(data) = frame.ok_or(WatchError::Ended)??.into_data() else { continue };
         words.text.extend_from_slice(&data);
         let mut spoke = false;
@@ -190,12 +212,13 @@
         }
         // An empty line is a word as well, but not one within another.
         if spoke || (words.text.is_empty() && data.contains(&b'\n')) {
-            if !heard && !spoke {
+            if heard_at.is_none() && !spoke {
                 // Nothing has changed since; the watch stands all the same.
                 events.updated(number, Update { index: since, snapshot: false, endpoints: Vec::new() });
             }
-            heard = true;
-            silent_at = Instant::now() + SILENCE;
+            let now = Instant::now();
+            heard_at = Some(now);
+            silent_at = now + SILENCE;
         }
         if words.text.len() > WORD_MOST {
             return Err(WatchError::LongWord);
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -435,7 +435,10 @@
             }
             change.list
         };
-        self.handle(Event::List(list));
+        self.handle(match origin {
+            Origin::Configuration | Origin::Watch => Event::List(list),
+            Origin::FormerWatch => Event::FormerList(list),
+        });
     }
 
     // --- Events and actions ---
@@ -515,6 +518,10 @@
                 };
                 tracing::debug!(id = %held.client_id(), ?reason, ?last_attempt, "request ended unserved");
             }
+            Report::ListTrust(level) => {
+                self.metrics.list_trust_changed(level);
+                tracing::info!(?level, "trust in the list changed");
+            }
             Report::Ejected { upstream, span } => {
                 self.metrics.ejected();
                 tracing::debug!(upstream = name(upstream), span_ms = span.as_millis(), "upstream ejected");
@@ -567,8 +574,8 @@
 
 impl WatchEvents for Rc<Driver> {
     fn updated(&self, watch: WatchNumber, update: Update) {
-        self.core.borrow_mut().subscription.heard(watch, update.index);
-        self.take_list(&update, Origin::Watch);
+        let current = self.core.borrow_mut().subscription.heard(watch, update.index);
+        self.take_list(&update, if current { Origin::Watch } else { Origin::FormerWatch });
     }
 
     fn broke(&self, watch: WatchNumber, reason: &WatchError) {
@@ -577,7 +584,11 @@
         }
         self.metrics.watch_ended(reason.kind());
         tracing::warn!(watch = watch.0, "the watch on discovery broke: {reason}");
-        self.handle(Event::List(ListUpdate::Broken));
+        self.handle(Event::List(match reason {
+            WatchError::Unreachable => ListUpdate::Unreachable,
+            WatchError::Silent { heard: Some(silence) } => ListUpdate::Silent(*silence),
+            _ => ListUpdate::Broken,
+        }));
     }
 
     fn reserve_descriptor(&self) -> Permit {
--- a/dahliahead/src/metrics.rs
+++ b/dahliahead/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters for the operator, in the OpenMetrics text format. Each is named here and nowhere else.
 
 use peathatch::interface::Outcome;
-use peathatch::report::EndReason;
+use peathatch::report::{EndReason, TrustLevel};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -97,6 +97,8 @@
 /// How a watch on discovery ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum WatchEnd {
+    /// Nobody listens there.
+    Unreachable,
     /// No connection came up.
     Connect,
     /// Nothing was heard for too long.
@@ -109,6 +111,27 @@
     Malformed,
 }
 
+/// How far the list is relied on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+#[expect(missing_docs, reason = "named as the levels of the decision module")]
+pub enum Trust {
+    Confirmed,
+    Held,
+    Proved,
+    Expired,
+}
+
+impl From<TrustLevel> for Trust {
+    fn from(level: TrustLevel) -> Self {
+        match level {
+            TrustLevel::Confirmed => Self::Confirmed,
+            TrustLevel::Held => Self::Held,
+            TrustLevel::Proved => Self::Proved,
+            TrustLevel::Expired => Self::Expired,
+        }
+    }
+}
+
 macro_rules! labels {
     ($($set:ident { $label:ident: $value:ty })*) => {$(
         #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -124,6 +147,7 @@
     OutcomeLabel { outcome: AttemptOutcome }
     CloseLabel { reason: Close }
     WatchEndLabel { reason: WatchEnd }
+    TrustLabel { level: Trust }
 }
 
 /// The counters of one process.
@@ -140,6 +164,8 @@
     watches: Counter,
     watch_ends: Family<WatchEndLabel, Counter>,
     list_version: Gauge,
+    list_confirmed: Gauge,
+    list_trust_changes: Family<TrustLabel, Counter>,
     members_ready: Gauge,
     members_draining: Gauge,
     requests_open: Gauge,
@@ -174,6 +200,16 @@
         registry.register("discovery_watches", "Watches asked for", metrics.watches.clone());
         registry.register("discovery_watch_ends", "Ended watches by reason", metrics.watch_ends.clone());
         registry.register("list_version", "Version of the list in hand", metrics.list_version.clone());
+        registry.register(
+            "list_confirmed",
+            "1 while a watch confirms the list",
+            metrics.list_confirmed.clone(),
+        );
+        registry.register(
+            "list_trust_changes",
+            "Changes of the trust in the list by level",
+            metrics.list_trust_changes.clone(),
+        );
         registry.register(
             "members_ready",
             "Listed upstreams that take requests",
@@ -247,6 +283,12 @@
         self.members_draining.set(draining as i64);
     }
 
+    /// The list is relied on in another way.
+    pub fn list_trust_changed(&self, level: TrustLevel) {
+        self.list_confirmed.set(i64::from(level == TrustLevel::Confirmed));
+        self.list_trust_changes.get_or_create(&TrustLabel { level: level.into() }).inc();
+    }
+
     /// The state at this moment.
     pub fn measured(&self, requests_open: usize, descriptors: usize) {
         self.requests_open.set(requests_open as i64);
--- a/dahliahead/src/subscription.rs
+++ b/dahliahead/src/subscription.rs
@@ -70,8 +70,8 @@
         }
     }
 
-    /// A watch has told of this version.
-    pub fn heard(&mut self, number: WatchNumber, version: u64) {
+    /// A watch has told of this version; `false` if another one is to take its place.
+    pub fn heard(&mut self, number: WatchNumber, version: u64) -> bool {
         // Where discovery was, versions may be ahead of those where it is, and what lies between them would
         // never be asked for.
         if number == self.number {
@@ -80,6 +80,7 @@
                 old.abort();
             }
         }
+        number == self.number
     }
 
     /// A watch has ended; `false` if another one has taken its place.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,7 @@
     ListUpdate, Member, Outcome, Phase, Request, RequestId, Rules, Settings, SettingsError, TenantId, Time,
     UpstreamId,
 };
+use crate::list_trust::ListTrust;
 use crate::report::{EndReason, Report};
 
 // --- Constants: unit and reason. Figures of a site come with the settings, never from here. ---
@@ -423,6 +424,8 @@
     ejection_s: f64,
     /// Chance of being taken when drawn, after its return.
     returning: f64,
+    /// When the latest request that it has accepted was sent.
+    proved: Option<f64>,
     /// Sends that a cold upstream may still get, and when that was reckoned.
     tokens: f64,
     tokens_at: f64,
@@ -445,6 +448,7 @@
             ejected_until: 0.0,
             ejection_s: EJECTION_S.0,
             returning: 1.0,
+            proved: None,
             tokens: rng.rand_float(),
             tokens_at: now,
         }
@@ -565,7 +569,7 @@
 // --- 6. Discovery ---
 
 /// Keeps the subscription open.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Discovery {
     subscribed: bool,
     ask_at: f64,
@@ -597,6 +601,7 @@
     latencies: Vec<Latency>,
     ledger: Ledger,
     discovery: Discovery,
+    list_trust: ListTrust,
     largest_weight: f64,
 }
 
@@ -610,6 +615,10 @@
         let limits = LearnedLimit::all(&settings);
         let mut suppressors: Vec<_> = limits.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
         let all = limits.len() - 1;
+        let list_trust = match settings.discovery {
+            DiscoveryMode::Push => ListTrust::pushed(&settings.rules),
+            DiscoveryMode::Subscribe => ListTrust::unknown_age(0.0, &settings.rules),
+        };
         suppressors[all].bucket_s *= (CALLS / (limits[all].fair * WINDOW_S)).clamp(1.0, 4.0);
         Ok(Self {
             rng: Rand64::new(u128::from(seed)),
@@ -628,6 +637,7 @@
             latencies: vec![Latency::default(); settings.classes.len()],
             ledger: Ledger { repeats: REPEATS.1 / 2.0, reroutes: REROUTES.1 / 2.0, ..Ledger::default() },
             discovery: Discovery::default(),
+            list_trust,
             largest_weight: 1.0,
             settings,
         })
@@ -639,11 +649,22 @@
         match event {
             Event::Started => {
                 actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
+                if self.settings.discovery == DiscoveryMode::Subscribe {
+                    self.list_trust = ListTrust::unknown_age(now, &self.settings.rules);
+                }
                 self.subscribe(now, actions);
             }
-            Event::DiscoveryMoved => self.subscribe_anew(now, actions),
+            Event::DiscoveryMoved => {
+                self.list_trust.move_away(now);
+                self.subscribe_anew(now, actions);
+            }
             Event::SettingsChanged(settings) => self.reconfigure(now, *settings, actions),
             Event::List(update) => self.learn_list(now, update, actions),
+            Event::FormerList(update) => {
+                let (discovery, trust) = (self.discovery, self.list_trust);
+                self.learn_list(now, update, actions);
+                (self.discovery, self.list_trust) = (discovery, trust);
+            }
             Event::Request(request) => self.take(now, request, actions),
             Event::StreamStarted { request, attempt } => {
                 let Some(entry) = self.ledger.entries.get_mut(&request) else { return };
@@ -690,6 +711,13 @@
         let other_time = settings.rules.ask_within != self.settings.rules.ask_within;
         let asks_anew =
             settings.discovery != self.settings.discovery || (other_time && !self.discovery.subscribed);
+        self.list_trust = self.list_trust.with_rules(&settings.rules);
+        if settings.discovery != self.settings.discovery {
+            self.list_trust = match settings.discovery {
+                DiscoveryMode::Push => ListTrust::pushed(&settings.rules),
+                DiscoveryMode::Subscribe => ListTrust::unknown_age(now, &settings.rules),
+            };
+        }
         self.settings = settings;
         self.rebuild(actions);
         if asks_anew {
@@ -721,9 +749,17 @@
         }
         if matches!(update, ListUpdate::Whole(_) | ListUpdate::Patch(_)) {
             self.discovery = Discovery { subscribed: true, ..Discovery::default() };
+            self.list_trust.confirm();
         }
         match update {
-            ListUpdate::Broken => {
+            ListUpdate::Broken | ListUpdate::Silent(_) | ListUpdate::Unreachable => {
+                match update {
+                    ListUpdate::Silent(span) => {
+                        self.list_trust.lose_silent(now, span, &self.settings.rules);
+                    }
+                    ListUpdate::Unreachable => self.list_trust.find_unreachable(now),
+                    _ => self.list_trust.lose(now, &self.settings.rules),
+                }
                 // Copies whose calls fail together must not come back together; what is pushed counts meanwhile, so
                 // that a watch which stood is opened anew at once, and one that failed before at the next sweep.
                 let at_once = self.discovery.subscribed && self.settings.rules.ask_within.is_none();
@@ -904,7 +940,10 @@
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
-            if !upstream.healthy(now, usual) || self.ledger.tried(id, upstream.member.id) {
+            if !upstream.healthy(now, usual)
+                || !self.list_trust.holds(now, upstream.proved)
+                || self.ledger.tried(id, upstream.member.id)
+            {
                 continue;
             }
             let chance = upstream.member.weight / self.largest_weight
@@ -926,7 +965,10 @@
 
     /// A member that may be sent to at all, the least busy, when draws found none.
     fn any_left(&mut self, now: f64, id: RequestId, from: &[usize]) -> Option<usize> {
-        let open = |&slot: &usize| !self.ledger.tried(id, self.upstreams[slot].member.id);
+        let open = |&slot: &usize| {
+            let upstream = &self.upstreams[slot];
+            self.list_trust.holds(now, upstream.proved) && !self.ledger.tried(id, upstream.member.id)
+        };
         let mut left: Vec<usize> = from.iter().copied().filter(open).collect();
         left.sort_by_key(|&slot| self.upstreams[slot].in_flight);
         left.into_iter().find(|&slot| self.cold_allows(now, slot))
@@ -962,6 +1004,7 @@
             || entry.streaming
             || timeout < LEAST_S
             || !upstream.usable()
+            || !self.list_trust.holds(now, upstream.proved)
             || entry.attempts.len() >= self.settings.allowed.attempts as usize
             || (entry.out > 0 && !self.settings.allowed.second_copies)
             || !may_repeat(now, entry.effect, entry.first_run(), &upstream.member)
@@ -973,6 +1016,10 @@
             (Effect::Keyed { window, .. }, Some(first)) => first.sent + window.as_secs_f64() - now,
             _ => timeout,
         };
+        // Nor may its upstream have begun to drain meanwhile, unheard of.
+        let trusted = self.list_trust.holds_until(upstream.proved).map_or(start_within, |until| until - now);
+        let start_within = start_within.min(trusted);
+        self.list_trust.note_use(now);
         if upstream.in_flight == 0 {
             upstream.heard = now;
         }
@@ -1042,6 +1089,10 @@
         entry.out -= 1;
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
         let (class, tenant, given) = (entry.class, entry.tenant, attempt.given);
+        if matches!(outcome, Outcome::Good | Outcome::Error) {
+            let upstream = &mut self.upstreams[slot];
+            upstream.proved = Some(upstream.proved.map_or(attempt.sent, |proved| proved.max(attempt.sent)));
+        }
         // By its own time: what was lost before it, on connections or elsewhere, tells nothing of congestion here.
         let late = took > self.settings.classes[class.0].aim.as_secs_f64();
         let (closed, idle) = (entry.closed || finished, entry.out == 0);
@@ -1215,18 +1266,33 @@
 
     // --- Sweep ---
 
+    /// Ends what still waits for a connection to upstreams that the list no longer vouches for.
+    fn watch_trust(&mut self, now: f64, actions: &mut Vec<Action>) {
+        if let Some(level) = self.list_trust.level_changed(now) {
+            actions.push(Action::Report(Report::ListTrust(level)));
+        }
+        let waits = |upstream: &&Upstream| {
+            upstream.in_flight > 0 && !self.list_trust.holds(now, upstream.proved) && upstream.usable()
+        };
+        for (_, upstream) in self.upstreams.iter().filter(|(_, upstream)| waits(upstream)) {
+            actions.push(Action::AbortConnects { upstream: upstream.member.id });
+        }
+    }
+
     fn sweep(&mut self, now: f64, actions: &mut Vec<Action>) {
         actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
         if !self.discovery.subscribed && now >= self.discovery.ask_at {
             self.subscribe(now, actions);
         }
+        self.watch_trust(now, actions);
         for (suppressor, limit) in self.suppressors.iter_mut().zip(&mut self.limits) {
             limit.usual += 0.02 * (suppressor.accepted_rate(now) - limit.usual);
         }
         // Quotas are parts of a whole tier: while some is gone, cold or ejected, the rest would choke.
         let has = |&slot: &usize| {
             let upstream = &self.upstreams[slot];
-            if upstream.ejected_until > now { 0.0 } else { upstream.warmth(now, &self.settings) }
+            let used = upstream.ejected_until <= now && self.list_trust.holds(now, upstream.proved);
+            if used { upstream.warmth(now, &self.settings) } else { 0.0 }
         };
         let Subset { home, away, first, .. } = &self.subset;
         let members = home.members.iter().chain(&*away.members);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -356,6 +356,10 @@
     Patch(Vec<Member>),
     /// The question failed or the subscription broke; the old list stands.
     Broken,
+    /// The subscription has said nothing for this long and was given up; the old list stands.
+    Silent(Duration),
+    /// Nobody listens where discovery is: it is down. The old list stands.
+    Unreachable,
 }
 
 /// How an attempt ended.
@@ -447,6 +451,8 @@
     Started,
     /// Discovery has spoken.
     List(ListUpdate),
+    /// Discovery has spoken where it was before it moved: what it says holds, but confirms nothing.
+    FormerList(ListUpdate),
     /// Discovery is to be had elsewhere from now on: a subscription where it was is about to end.
     DiscoveryMoved,
     /// New settings are in force from now on; ignored unless they succeed those before, see [`Settings::succeeds`].
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 
 mod decide;
 pub mod interface;
+mod list_trust;
 pub mod report;
 
 pub use decide::Balancer;
--- a/src/report.rs
+++ b/src/report.rs
@@ -15,6 +15,19 @@
     AttemptFailed(Outcome),
 }
 
+/// How far the list of upstreams is relied on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrustLevel {
+    /// A subscription confirms it.
+    Confirmed,
+    /// No subscription does, but no change can count as told yet.
+    Held,
+    /// Only upstreams that have just accepted a request are used.
+    Proved,
+    /// No upstream is used until discovery has answered.
+    Expired,
+}
+
 /// A fact for the operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Report {
@@ -25,6 +38,8 @@
         /// Why.
         reason: EndReason,
     },
+    /// The list is relied on in another way.
+    ListTrust(TrustLevel),
     /// An upstream that fails is left out for a while.
     Ejected {
         /// The upstream.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -39,10 +39,15 @@
 
 impl Bench {
     pub fn new(settings: Settings, seed: u64, members: Vec<Member>) -> Self {
-        let mut balancer = Balancer::new(settings, seed).expect("the settings make sense");
-        let mut actions = Vec::new();
-        balancer.handle(START, Event::Started, &mut actions);
-        balancer.handle(START, Event::List(ListUpdate::Whole(members)), &mut actions);
+        let balancer = Balancer::new(settings, seed).expect("the settings make sense");
+        let mut bench = Self::with(balancer);
+        bench.tell(Event::Started);
+        bench.tell(Event::List(ListUpdate::Whole(members)));
+        bench
+    }
+
+    /// One that has not been told anything yet.
+    pub fn with(balancer: Balancer) -> Self {
         Self { balancer, now: START, next_id: 0, next_wake: START }
     }
 
