--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1291,8 +1291,7 @@
         // Quotas are parts of a whole tier: while some is gone, cold or ejected, the rest would choke.
         let has = |&slot: &usize| {
             let upstream = &self.upstreams[slot];
-            let used = upstream.ejected_until <= now && self.list_trust.holds(now, upstream.proved);
-            if used { upstream.warmth(now, &self.settings) } else { 0.0 }
+            if upstream.ejected_until > now { 0.0 } else { upstream.warmth(now, &self.settings) }
         };
         let Subset { home, away, first, .. } = &self.subset;
         let members = home.members.iter().chain(&*away.members);
