--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 //! 3. [`Subset`] is the copy's part of the tier, from which the less busy of two is picked;
 //! 4. [`Upstream`] is what the copy knows of an upstream: health, warmth, own calls in flight;
 //! 5. [`Ledger`] holds the requests with their attempts and the budgets for further ones;
-//! 6. [`Discovery`] keeps the list coming.
+//! 6. [`Discovery`] keeps the list coming; `list_trust` says how far it is relied on meanwhile.
 //!
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
@@ -615,10 +615,6 @@
         let limits = LearnedLimit::all(&settings);
         let mut suppressors: Vec<_> = limits.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
         let all = limits.len() - 1;
-        let list_trust = match settings.discovery {
-            DiscoveryMode::Push => ListTrust::pushed(&settings.rules),
-            DiscoveryMode::Subscribe => ListTrust::unknown_age(0.0, &settings.rules),
-        };
         suppressors[all].bucket_s *= (CALLS / (limits[all].fair * WINDOW_S)).clamp(1.0, 4.0);
         Ok(Self {
             rng: Rand64::new(u128::from(seed)),
@@ -637,7 +633,7 @@
             latencies: vec![Latency::default(); settings.classes.len()],
             ledger: Ledger { repeats: REPEATS.1 / 2.0, reroutes: REROUTES.1 / 2.0, ..Ledger::default() },
             discovery: Discovery::default(),
-            list_trust,
+            list_trust: ListTrust::start(0.0, settings.discovery, &settings.rules),
             largest_weight: 1.0,
             settings,
         })
@@ -649,9 +645,7 @@
         match event {
             Event::Started => {
                 actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-                if self.settings.discovery == DiscoveryMode::Subscribe {
-                    self.list_trust = ListTrust::unknown_age(now, &self.settings.rules);
-                }
+                self.list_trust = ListTrust::start(now, self.settings.discovery, &self.settings.rules);
                 self.subscribe(now, actions);
             }
             Event::DiscoveryMoved => {
@@ -711,13 +705,11 @@
         let other_time = settings.rules.ask_within != self.settings.rules.ask_within;
         let asks_anew =
             settings.discovery != self.settings.discovery || (other_time && !self.discovery.subscribed);
-        self.list_trust = self.list_trust.with_rules(&settings.rules);
-        if settings.discovery != self.settings.discovery {
-            self.list_trust = match settings.discovery {
-                DiscoveryMode::Push => ListTrust::pushed(&settings.rules),
-                DiscoveryMode::Subscribe => ListTrust::unknown_age(now, &settings.rules),
-            };
-        }
+        self.list_trust = if settings.discovery == self.settings.discovery {
+            self.list_trust.with_rules(&settings.rules)
+        } else {
+            ListTrust::start(now, settings.discovery, &settings.rules)
+        };
         self.settings = settings;
         self.rebuild(actions);
         if asks_anew {
--- a/src/list_trust.rs
+++ b/src/list_trust.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::interface::Rules;
+use crate::interface::{DiscoveryMode, Rules};
 use crate::report::TrustLevel;
 
 /// Seconds after which a change that discovery has counts as told, whatever call failed (STANDING.md).
@@ -59,15 +59,13 @@
 }
 
 impl ListTrust {
-    /// Before the first word from discovery, with a list of unknown age.
-    pub(crate) fn unknown_age(now: f64, rules: &Rules) -> Self {
-        let state = State::UnknownAge { started: now, used: None };
-        Self { state, grace_s: 0.0, level: TrustLevel::Held }.with_rules(rules)
-    }
-
-    /// Where lists come by themselves, they hold.
-    pub(crate) fn pushed(rules: &Rules) -> Self {
-        Self { state: State::Confirmed, grace_s: 0.0, level: TrustLevel::Confirmed }.with_rules(rules)
+    /// Before the first word from discovery: a list of unknown age or, where lists come by themselves, one that holds.
+    pub(crate) fn start(now: f64, mode: DiscoveryMode, rules: &Rules) -> Self {
+        let (state, level) = match mode {
+            DiscoveryMode::Push => (State::Confirmed, TrustLevel::Confirmed),
+            DiscoveryMode::Subscribe => (State::UnknownAge { started: now, used: None }, TrustLevel::Held),
+        };
+        Self { state, grace_s: 0.0, level }.with_rules(rules)
     }
 
     /// The same under other rules.
