Let a word of a former watch skip the confirmation, and count abandoned requests apart

A word from where discovery was had its effect on the subscription saved and put back around the shared path; now only the event of the standing subscription confirms, and the shared path takes in the list. The name of each server was kept twice, for the log alone; it is looked up there. A request out of time was counted as abandoned and as failed in stilelead_requests_total; abandoned ones have a counter of their own.

--- a/dahliahead/src/directory.rs
+++ b/dahliahead/src/directory.rs
@@ -31,7 +31,6 @@
 
 #[derive(Debug)]
 struct Listed {
-    name: Box<str>,
     address: SocketAddr,
     since_ms: u64,
     ready: bool,
@@ -65,10 +64,10 @@
         self.ids.get(name).copied()
     }
 
-    /// The name of an upstream that is listed.
+    /// The name of an upstream that is listed, found by search: for the log.
     #[must_use]
     pub fn name(&self, upstream: UpstreamId) -> Option<&str> {
-        self.listed.get(&upstream).map(|listed| &*listed.name)
+        self.ids.iter().find(|&(_, &id)| id == upstream).map(|(name, _)| &**name)
     }
 
     /// How many of the upstreams listed take requests, and how many do not.
@@ -136,8 +135,7 @@
             // A drain holds, whatever has become of the address.
             let known = self.listed.get(&id).filter(|_| phase == Phase::Draining).map(|known| known.address);
             let address = endpoint.address.parse().ok().or(known)?;
-            let name = endpoint.name.as_str().into();
-            let listed = Listed { name, address, since_ms: endpoint.since_ms, ready: phase == Phase::Ready };
+            let listed = Listed { address, since_ms: endpoint.since_ms, ready: phase == Phase::Ready };
             let before = self.listed.insert(id, listed);
             if before.is_some_and(|before| before.since_ms != endpoint.since_ms) {
                 restarted.push(id);
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -25,7 +25,7 @@
 use crate::directory::{Directory, Origin};
 use crate::discovery::{self, Update, WatchError, WatchEvents, WatchNumber};
 use crate::in_force::InForce;
-use crate::metrics::{self, Metrics};
+use crate::metrics::Metrics;
 use crate::permit::Permit;
 use crate::reload::{Changes, ReloadError};
 use crate::subscription::Subscription;
@@ -341,7 +341,7 @@
                 return;
             }
             tracing::debug!(id = %held.client_id(), "client left or out of time");
-            self.metrics.request_answered(metrics::Answer::Abandoned);
+            self.metrics.request_abandoned();
             // What waits for its connection, or has not gone out whole, goes to nobody's benefit. Closed before
             // its last byte it never runs, so that this needs no leave to cancel.
             for attempt in &mut held.attempts {
--- a/dahliahead/src/metrics.rs
+++ b/dahliahead/src/metrics.rs
@@ -23,8 +23,6 @@
     Failed,
     /// No proper request.
     Malformed,
-    /// Its client left before the answer, or its time was up.
-    Abandoned,
 }
 
 /// Why a request was ended unserved.
@@ -156,6 +154,7 @@
     registry: Registry,
     requests: Family<AnswerLabel, Counter>,
     unserved: Family<ReasonLabel, Counter>,
+    abandoned: Counter,
     attempts: Family<OutcomeLabel, Counter>,
     further_attempts: Counter,
     ejections: Counter,
@@ -184,6 +183,11 @@
             "Requests refused or failed by reason",
             metrics.unserved.clone(),
         );
+        registry.register(
+            "requests_abandoned",
+            "Requests whose client left, or whose time was up, before they were ended",
+            metrics.abandoned.clone(),
+        );
         registry.register("attempts", "Ended attempts by outcome", metrics.attempts.clone());
         registry.register(
             "attempts_further",
@@ -239,6 +243,11 @@
         self.unserved.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// A request's client has left, or its time is up, before it was ended.
+    pub fn request_abandoned(&self) {
+        self.abandoned.inc();
+    }
+
     /// An attempt has begun; `further` if its request had one before.
     pub fn attempt_begun(&self, further: bool) {
         if further {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -569,7 +569,7 @@
 // --- 6. Discovery ---
 
 /// Keeps the subscription open.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Default)]
 struct Discovery {
     subscribed: bool,
     ask_at: f64,
@@ -653,12 +653,14 @@
                 self.subscribe_anew(now, actions);
             }
             Event::SettingsChanged(settings) => self.reconfigure(now, *settings, actions),
-            Event::List(update) => self.learn_list(now, update, actions),
-            Event::FormerList(update) => {
-                let (discovery, trust) = (self.discovery, self.list_trust);
+            Event::List(update) => {
+                if matches!(update, ListUpdate::Whole(_) | ListUpdate::Patch(_)) {
+                    self.discovery = Discovery { subscribed: true, ..Discovery::default() };
+                    self.list_trust.confirm();
+                }
                 self.learn_list(now, update, actions);
-                (self.discovery, self.list_trust) = (discovery, trust);
             }
+            Event::FormerList(update) => self.learn_list(now, update, actions),
             Event::Request(request) => self.take(now, request, actions),
             Event::StreamStarted { request, attempt } => {
                 let Some(entry) = self.ledger.entries.get_mut(&request) else { return };
@@ -739,10 +741,6 @@
         if matches!(update, ListUpdate::Whole(_) | ListUpdate::StaleCopy(_)) {
             self.upstreams.iter_mut().for_each(|(_, upstream)| upstream.listed = false);
         }
-        if matches!(update, ListUpdate::Whole(_) | ListUpdate::Patch(_)) {
-            self.discovery = Discovery { subscribed: true, ..Discovery::default() };
-            self.list_trust.confirm();
-        }
         match update {
             ListUpdate::Broken | ListUpdate::Silent(_) | ListUpdate::Unreachable => {
                 match update {
