--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standins review/standins/main.rs
+rustc --edition 2021 -O -D warnings -o target/review/standins review/standins/main.rs
--- a/review/standins/balancer.rs
+++ b/review/standins/balancer.rs
@@ -40,9 +40,7 @@
 fn settings() -> String {
     let quotas: Vec<String> = TENANTS
         .iter()
-        .map(|(name, share)| {
-            format!("{{\"name\":\"{name}\",\"portion\":{share},\"quotaPerS\":{:.1}}}", share * 209.0)
-        })
+        .map(|(name, share)| format!("{{\"name\":\"{name}\",\"portion\":{share},\"quotaPerS\":{:.1}}}", share * 209.0))
         .collect();
     format!(
         r#"{{"balancers":1,
@@ -137,9 +135,7 @@
         let Ok(stream) = TcpStream::connect(self.address) else { return false };
         let mut connection = Connection::new(stream);
         connection.stream.write_all(b"GET /_health HTTP/1.1\r\nHost: origin.svc\r\n\r\n").is_ok()
-            && connection
-                .read(Some(Instant::now() + Duration::from_secs(1)))
-                .is_ok_and(|answer| answer.status() == 200)
+            && connection.read(Some(Instant::now() + Duration::from_secs(1))).is_ok_and(|answer| answer.status() == 200)
     }
 
     /// Whether the process has ended.
--- a/review/standins/cases/second_answers.rs
+++ b/review/standins/cases/second_answers.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use super::traffic;
-use crate::Verdict;
-use crate::balancer::{Balancer, Deployment, entry};
-use crate::nodo::{self, Ledger, Service, body_for};
-use crate::record::Record;
+use crate::balancer::{entry, Balancer, Deployment};
 use crate::discovery;
+use crate::nodo::{self, body_for, Ledger, Service};
+use crate::record::Record;
+use crate::Verdict;
 
 /// Number of nodos, within the 7 to 9 of the brief.
 const NODOS: usize = 8;
--- a/review/standins/cases/traffic.rs
+++ b/review/standins/cases/traffic.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, mpsc};
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -56,8 +56,7 @@
 /// The request as a client sends it.
 pub fn bytes_of(ask: &Ask) -> Vec<u8> {
     let (method, class) = if ask.is_reserva { ("POST", "reserva") } else { ("GET", "consulta") };
-    let length =
-        if ask.is_reserva { format!("Content-Length: {}\r\n", ask.body_bytes) } else { String::new() };
+    let length = if ask.is_reserva { format!("Content-Length: {}\r\n", ask.body_bytes) } else { String::new() };
     let mut bytes = format!(
         "{method} /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {}\r\nX-Tenant: {}\r\nX-Deadline: {:.3}\r\n\
          {length}\r\n",
--- a/review/standins/discovery.rs
+++ b/review/standins/discovery.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::http::{Connection, answer};
+use crate::http::{answer, Connection};
 
 /// Starts the service with these entries; returns its address and the whole list in its form.
 pub fn start(entries: &[String]) -> Result<(SocketAddr, String), String> {
--- a/review/standins/nodo.rs
+++ b/review/standins/nodo.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::http::{Connection, answer};
+use crate::http::{answer, Connection};
 use crate::record::{Random, Record};
 
 /// What clients have sent and nodos have run, for the whole fleet.
