--- a/review/standins/balancer.rs
+++ b/review/standins/balancer.rs
@@ -10,13 +10,14 @@
 use std::io::Write;
 
 use crate::http::Connection;
-use crate::record::Record;
+use crate::Run;
 
-/// A running balancer; it is killed, and its temporary folder removed, when this is dropped.
+/// A running balancer; it is killed when this is dropped.
 pub struct Balancer {
     pub process: Child,
     pub address: SocketAddr,
-    folder: PathBuf,
+    /// Names the process for the script that ends what a broken-off run leaves.
+    process_file: PathBuf,
 }
 
 /// What differs from case to case in a configuration.
@@ -40,7 +41,9 @@
 fn settings() -> String {
     let quotas: Vec<String> = TENANTS
         .iter()
-        .map(|(name, share)| format!("{{\"name\":\"{name}\",\"portion\":{share},\"quotaPerS\":{:.1}}}", share * 209.0))
+        .map(|(name, share)| {
+            format!("{{\"name\":\"{name}\",\"portion\":{share},\"quotaPerS\":{:.1}}}", share * 209.0)
+        })
         .collect();
     format!(
         r#"{{"balancers":1,
@@ -88,12 +91,10 @@
         deployment: &Deployment,
         discovery: SocketAddr,
         known: &str,
-        record: &Record,
-        seed: u64,
+        run: &Run,
     ) -> Result<Self, String> {
+        let Run { record, folder, seed, .. } = run;
         let fail = |error: std::io::Error| error.to_string();
-        let folder = std::env::temp_dir().join(format!("stilelead-review-{}", std::process::id()));
-        fs::create_dir_all(&folder).map_err(fail)?;
         let address = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).map_err(fail)?;
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\"seed\":\"{seed:x}\",\
@@ -112,13 +113,14 @@
             .env("PROXY_LISTEN", address.to_string())
             .env("PROXY_DISCOVERY", discovery.to_string())
             .env("PROXY_CONFIG", &config_path)
-            .env("TMPDIR", &folder)
+            .env("TMPDIR", folder)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
             .map_err(fail)?;
-        let mut balancer = Self { process, address, folder };
+        let mut balancer = Self { process, address, process_file: folder.join("process") };
+        fs::write(&balancer.process_file, balancer.process.id().to_string()).map_err(fail)?;
         record.line(&format!("balancer started: {command}, listens on {address}"));
         let until = Instant::now() + Duration::from_secs(10);
         while !balancer.is_ready() {
@@ -135,7 +137,9 @@
         let Ok(stream) = TcpStream::connect(self.address) else { return false };
         let mut connection = Connection::new(stream);
         connection.stream.write_all(b"GET /_health HTTP/1.1\r\nHost: origin.svc\r\n\r\n").is_ok()
-            && connection.read(Some(Instant::now() + Duration::from_secs(1))).is_ok_and(|answer| answer.status() == 200)
+            && connection
+                .read(Some(Instant::now() + Duration::from_secs(1)))
+                .is_ok_and(|answer| answer.status() == 200)
     }
 
     /// Whether the process has ended.
@@ -148,6 +152,6 @@
     fn drop(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
-        let _ = fs::remove_dir_all(&self.folder);
+        let _ = fs::remove_file(&self.process_file);
     }
 }
--- a/review/standins/cases/memory.rs
+++ b/review/standins/cases/memory.rs
@@ -10,10 +10,11 @@
 
 use super::traffic;
 use crate::balancer::{entry, Balancer, Deployment, TENANTS};
+use crate::discovery::Discovery;
 use crate::http::End;
 use crate::nodo::{self, Ledger, Service};
 use crate::record::Record;
-use crate::{discovery, Verdict};
+use crate::{Run, Verdict};
 
 /// Number of nodos, within the 7 to 9 of the brief.
 const NODOS: usize = 8;
@@ -28,7 +29,9 @@
 const BODY_BYTES: usize = 65_500;
 const PIECES: [usize; 2] = [30_000, 35_000];
 
-pub fn run(record: &Record, trouble: bool, seed: u64) -> Result<Verdict, String> {
+pub fn run(run: &Run) -> Result<Verdict, String> {
+    let Run { record, trouble, seed, .. } = run;
+    let (trouble, seed) = (*trouble, *seed);
     let ledger = Arc::new(Ledger::default());
     let service = Service {
         consulta_s: (0.020, 0.060),
@@ -42,8 +45,9 @@
         let address = nodo::start(&name, service.clone(), &ledger, record, seed * 100 + number as u64)?;
         entries.push(entry(&name, address, number / 4));
     }
-    let (discovery, known) = discovery::start(&entries)?;
-    let mut balancer = Balancer::start(&DEPLOYMENT, discovery, &known, record, seed)?;
+    let discovery = Discovery::start(entries, record)?;
+    let known = discovery.whole_list();
+    let mut balancer = Balancer::start(&DEPLOYMENT, discovery.address, &known, run)?;
     let address = balancer.address;
     let done = Arc::new(AtomicBool::new(false));
     let clients = {
@@ -72,7 +76,9 @@
         }
         peak_kib = peak_kib.max(used_kib);
         if used_kib > limit_kib && !killed {
-            record.line(&format!("BROKEN: {used_kib} KiB are over {limit_kib}: the platform kills the balancer"));
+            record.line(&format!(
+                "BROKEN: {used_kib} KiB are over {limit_kib}: the platform kills the balancer"
+            ));
             let _ = balancer.process.kill();
             killed = true;
         }
@@ -87,8 +93,11 @@
     }
     drop(balancer);
     record.line(&traffic::summary(&answers));
-    let cut = answers.iter().filter(|one| matches!(one.answer, Err(End::ClosedBefore | End::ClosedWithin))).count();
-    record.line(&format!("memory: {peak_kib} KiB at most, {limit_kib} are allowed; {cut} requests without an answer"));
+    let cut =
+        answers.iter().filter(|one| matches!(one.answer, Err(End::ClosedBefore | End::ClosedWithin))).count();
+    record.line(&format!(
+        "memory: {peak_kib} KiB at most, {limit_kib} are allowed; {cut} requests without an answer"
+    ));
     Ok(if killed { Verdict::Broken } else { Verdict::Held })
 }
 
--- a/review/standins/cases/second_answers.rs
+++ b/review/standins/cases/second_answers.rs
@@ -5,10 +5,9 @@
 
 use super::traffic;
 use crate::balancer::{entry, Balancer, Deployment};
-use crate::discovery;
+use crate::discovery::Discovery;
 use crate::nodo::{self, body_for, Ledger, Service};
-use crate::record::Record;
-use crate::Verdict;
+use crate::{Run, Verdict};
 
 /// Number of nodos, within the 7 to 9 of the brief.
 const NODOS: usize = 8;
@@ -17,7 +16,9 @@
 /// The share of the answers that come a second time, and how late, in seconds.
 const SECOND_ANSWERS: (f64, (f64, f64)) = (0.04, (0.002, 0.008));
 
-pub fn run(record: &Record, trouble: bool, seed: u64) -> Result<Verdict, String> {
+pub fn run(run: &Run) -> Result<Verdict, String> {
+    let Run { record, trouble, seed, .. } = run;
+    let (trouble, seed) = (*trouble, *seed);
     let ledger = Arc::new(Ledger::default());
     let service = Service {
         consulta_s: (0.020, 0.060),
@@ -31,9 +32,10 @@
         let address = nodo::start(&name, service.clone(), &ledger, record, seed * 100 + number as u64)?;
         entries.push(entry(&name, address, number / 4));
     }
-    let (discovery, known) = discovery::start(&entries)?;
+    let discovery = Discovery::start(entries, record)?;
+    let known = discovery.whole_list();
     let deployment = Deployment { memory_mb: 48, sockets: 384 };
-    let mut balancer = Balancer::start(&deployment, discovery, &known, record, seed)?;
+    let mut balancer = Balancer::start(&deployment, discovery.address, &known, run)?;
     let answers = traffic::run(balancer.address, &ledger, record, seed, TRAFFIC);
     if balancer.has_ended() {
         return Err("the balancer has ended".to_owned());
--- a/review/standins/cases/traffic.rs
+++ b/review/standins/cases/traffic.rs
@@ -30,8 +30,6 @@
 pub struct Answered {
     pub ask: Ask,
     pub answer: Result<Message, End>,
-    /// From the last byte of the request to the last byte of the answer, in seconds.
-    pub after_s: f64,
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -45,7 +43,11 @@
         left < 0.0
     });
     Ask {
-        id: format!("{:08x}{:08x}", (random.fraction() * 4e9) as u64, NEXT_ID.fetch_add(1, Ordering::Relaxed)),
+        id: format!(
+            "{:08x}{:08x}",
+            (random.fraction() * 4e9) as u64,
+            NEXT_ID.fetch_add(1, Ordering::Relaxed)
+        ),
         is_reserva,
         tenant: tenant.unwrap_or(&TENANTS[0]).0,
         deadline_s: if is_reserva { 6.0 } else { 1.0 },
@@ -56,7 +58,8 @@
 /// The request as a client sends it.
 pub fn bytes_of(ask: &Ask) -> Vec<u8> {
     let (method, class) = if ask.is_reserva { ("POST", "reserva") } else { ("GET", "consulta") };
-    let length = if ask.is_reserva { format!("Content-Length: {}\r\n", ask.body_bytes) } else { String::new() };
+    let length =
+        if ask.is_reserva { format!("Content-Length: {}\r\n", ask.body_bytes) } else { String::new() };
     let mut bytes = format!(
         "{method} /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {}\r\nX-Tenant: {}\r\nX-Deadline: {:.3}\r\n\
          {length}\r\n",
@@ -90,13 +93,16 @@
                 Ok(stream) => Connection::new(stream),
                 Err(error) => {
                     record.line(&format!("client could not connect for {}: {error}", ask.id));
-                    return Answered { ask: ask.clone(), answer: Err(End::ClosedBefore), after_s: 0.0 };
+                    return Answered { ask: ask.clone(), answer: Err(End::ClosedBefore) };
                 }
             },
         };
         let written = current.stream.write_all(&bytes);
         let sent_at = Instant::now();
-        record.line(&format!("client sends {class} {} for {}, waits {:.3} s", ask.id, ask.tenant, ask.deadline_s));
+        record.line(&format!(
+            "client sends {class} {} for {}, waits {:.3} s",
+            ask.id, ask.tenant, ask.deadline_s
+        ));
         let until = sent_at + Duration::from_secs_f64(ask.deadline_s + LATE_ANSWER_S);
         let answer = if written.is_ok() { current.read(Some(until)) } else { Err(End::ClosedBefore) };
         last = (answer, sent_at.elapsed().as_secs_f64());
@@ -120,7 +126,7 @@
         Err(end) => format!("gets no answer: {end:?}"),
     };
     record.line(&format!("client of {} {text} after {after_s:.3} s", ask.id));
-    Answered { ask: ask.clone(), answer, after_s }
+    Answered { ask: ask.clone(), answer }
 }
 
 /// Sends requests at random times for `duration_s`, `per_s` a second, and returns all of them with their answers.
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -108,7 +108,8 @@
 
 /// An answer with this status line, further header lines (each ended) and body.
 pub fn answer(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
-    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut bytes =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -13,6 +13,16 @@
 
 use record::Record;
 
+/// What a run is given.
+pub struct Run {
+    pub record: Record,
+    /// A folder for files that do not outlive the run.
+    pub folder: PathBuf,
+    /// Whether the disruption happens.
+    pub trouble: bool,
+    pub seed: u64,
+}
+
 /// What a run has shown.
 pub enum Verdict {
     /// The rule held.
@@ -23,18 +33,20 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: standins CASE FOLDER");
+    let (Some(case), Some(folder), Some(temporary)) = (arguments.next(), arguments.next(), arguments.next())
+    else {
+        eprintln!("usage: standins CASE FOLDER TEMPORARY-FOLDER");
         exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let seed = std::env::var("SEED").ok().and_then(|value| value.parse().ok()).unwrap_or(1);
     let record = Record::create(&PathBuf::from(folder).join("record.txt"));
+    let run = Run { record: record.clone(), folder: temporary.into(), trouble, seed };
     record.line(&format!("case {case}, seed {seed}, disruption {}", if trouble { "on" } else { "off" }));
     let result = match case.as_str() {
-        "second-answers" => cases::second_answers::run(&record, trouble, seed),
-        "memory" => cases::memory::run(&record, trouble, seed),
-        "pipeline" => cases::pipeline::run(&record, trouble, seed),
+        "second-answers" => cases::second_answers::run(&run),
+        "drain" => cases::drain::run(&run),
+        "memory" => cases::memory::run(&run),
         _ => Err(format!("no such case: {case}")),
     };
     let (text, status) = match result {
