Move client connections and request parsing out of server.rs

Change: server/clients.rs has the open connections and which of them is closed when sockets run short, server/request.rs how a request is read and checked. No behaviour changes; two comments lose the story of their figures.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -2,7 +2,6 @@
 //! program.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
@@ -14,36 +13,34 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{Full, LengthLimitError};
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
-use hyper::http::request::Parts;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use stilelead_decision::interface::{ClassId, Idempotency, RequestId, TenantId};
-use thiserror::Error;
+use stilelead_decision::interface::RequestId;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::active_config::ActiveConfig;
 use crate::config::{Config, ConfigError};
 use crate::driver::{Answer, ClientRequest, Driver};
 use crate::framing::{AmbiguousLength, InspectedStream, PendingInput};
 use crate::metrics::{self, CloseReason, UnservedCause};
 use crate::reload;
-use crate::upstream::{ForwardedRequest, MAX_BODY_BYTES, read_body};
 
-/// The time kept for delivering the answer. It is subtracted from the client's time limit, in each tier
-/// again, because the answer has to arrive within that limit. 99 in 100 answers are sent within 0.9 ms
-/// (r7909), so this leaves room for a busy core; 30 ms left clients that wait 80 ms nothing of what the tier
-/// below needs.
-pub const DEADLINE_MARGIN: Duration = Duration::from_millis(8);
+mod clients;
+mod request;
+
+use clients::{ARRIVAL_GRACE, ClientConnection, Clients, IDLE_TIMEOUT, Phase};
+pub use request::DEADLINE_MARGIN;
+use request::{BadRequest, read_request};
+
 /// How long past the deadline the decisions may still give the final answer, before the request fails.
 pub const FINAL_ANSWER_GRACE: Duration = Duration::from_millis(10);
 /// The program may be killed once this time, plus the longest deadline of a class (but at most
@@ -55,20 +52,11 @@
 const KILL_MARGIN: Duration = Duration::from_millis(200);
 /// Fraction of the drain time during which connections are served as before the drain: clients may have no
 /// other balancer until this one is back, and use their connections for as long as these stay open. A request
-/// that arrives at the end of that time still has about 0.35 s for its answer, three times the median in
-/// r7000; with a fraction of 0.6, clients there were without a balancer for a second longer.
+/// that arrives at the end of that time still has time for its answer.
 const DRAIN_OPEN_FRACTION: f64 = 0.9;
-/// Client connections that are kept free while a drain still serves connections as before: clients open no
-/// new connections to a balancer that is shutting down, and may take it for gone if none is free for a
-/// moment, although it could still serve. Two, because one may be in use while a refusal is being sent on the
-/// other; keeping a quarter of them free refused every second request in r7000.
-const MIN_FREE_CONNECTIONS: usize = 2;
 /// Minimum time for which new connections are still accepted once a drain closes the existing ones; also the
 /// time in which the last answers have to be sent once unanswered requests have failed.
 const FINAL_ACCEPT_TIME: Duration = Duration::from_millis(150);
-/// How long a connection that is about to close stays open for a request that may be on its way: a new
-/// connection for its first request, any connection for the rest of a request that has begun to arrive.
-const ARRIVAL_GRACE: Duration = Duration::from_millis(100);
 /// How long a connection is still read after the balancer has closed its side, so that the last answer
 /// arrives: closing a socket with unread bytes resets the connection and discards what the system has not
 /// delivered yet. A large answer may take this long.
@@ -78,172 +66,16 @@
 const MAX_LINGER_BYTES: usize = 256 * 1024;
 /// How often to check whether the drain is complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Time for a request head to arrive completely, from its first byte or, before the first request, from
-/// when the connection was accepted. A client that sends less has to be disconnected within 3 s, and
-/// occupies a socket until then.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for a request to arrive completely, including its body; counts from the same moment as
 /// `HEAD_TIMEOUT`.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Idle time after which a client connection is closed: clients that send one request and stay connected
-/// must not accumulate.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Idle time after which a client connection may be closed when sockets run short; one that has been idle
-/// for less is closed only as a last resort.
-const MIN_IDLE_TO_EVICT: Duration = Duration::from_secs(2);
 /// Maximum size of a request head, and so of hyper's buffer for a connection.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// The header by which upstreams recognise a repeated request.
-const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Path of the operator's metrics.
 const METRICS_PATH: &str = "/_metrics";
 /// Pause after a failed accept, so that running out of descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
 
-/// Whether the program serves as usual, or how far its drain has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// The program serves as usual.
-    Serving,
-    /// Connections between requests are closed, those with a request in progress after its answer.
-    Closing,
-    /// Requests that have no answer yet fail.
-    Ending,
-}
-
-/// The state of a client connection that is shared with the rest of the server.
-struct ClientConnection {
-    /// Whether a request is being answered, or the connection has been chosen for eviction.
-    busy: Cell<bool>,
-    /// Whether at least one request has been received on the connection.
-    used: Cell<bool>,
-    /// When the connection was accepted, or its latest answer was made.
-    last_activity: Cell<Instant>,
-    /// What has been received of the connection's next request.
-    input: Rc<PendingInput>,
-    /// Whether nothing more is sent on the connection; at most its last answer is still being delivered.
-    finished: Cell<bool>,
-    /// Asks for the connection to be closed as soon as it is between requests.
-    close_requested: Notify,
-}
-
-impl ClientConnection {
-    /// When to close the connection unless a request arrives; `None` while one is being answered.
-    fn expires_at(&self) -> Option<Instant> {
-        if self.busy.get() {
-            return None;
-        }
-        Some(match self.input.pending_since() {
-            _ if !self.used.get() => self.last_activity.get() + HEAD_TIMEOUT,
-            Some(began_at) => began_at.max(self.last_activity.get()) + HEAD_TIMEOUT,
-            None => self.last_activity.get() + IDLE_TIMEOUT,
-        })
-    }
-
-    /// Rank for eviction, lowest first: finished connections and those that were accepted but bring no
-    /// request, connections that have been idle for long, any others, and last those whose next request is
-    /// arriving.
-    fn eviction_rank(&self) -> (u8, Instant) {
-        let last_activity = self.last_activity.get();
-        let rank = match (self.used.get(), last_activity.elapsed()) {
-            _ if self.finished.get() => 0,
-            (false, age) if age >= ARRIVAL_GRACE => 0,
-            (true, _) if self.input.pending_since().is_some() => 4,
-            (true, age) if age >= MIN_IDLE_TO_EVICT => 1,
-            (false, _) => 2,
-            (true, _) => 3,
-        };
-        (rank, last_activity)
-    }
-
-    /// Whether the connection may be closed to free a socket: clients may rely on a recently used connection
-    /// for a while.
-    fn is_evictable(&self) -> bool {
-        self.eviction_rank().0 <= 1
-    }
-}
-
-/// All client connections.
-struct Clients {
-    /// Handles the requests of the clients.
-    driver: Rc<Driver>,
-    /// Tells the connections which phase the drain has reached.
-    phases: watch::Receiver<Phase>,
-    /// The client connections by number, in the order in which they were accepted.
-    connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
-    /// The number that the next accepted connection gets.
-    next_number: Cell<u64>,
-    /// Whether the program has been told to stop.
-    draining: Cell<bool>,
-}
-
-impl Clients {
-    /// Starts serving an accepted connection; if sockets run short, another connection is closed first.
-    fn accept(self: &Rc<Self>, stream: TcpStream) {
-        if self.driver.short_of_sockets() {
-            self.evict_one();
-        }
-        let connection = Rc::new(ClientConnection {
-            busy: Cell::new(false),
-            used: Cell::new(false),
-            last_activity: Cell::new(Instant::now()),
-            input: Rc::default(),
-            finished: Cell::new(false),
-            close_requested: Notify::new(),
-        });
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
-        self.connections.borrow_mut().insert(number, Rc::clone(&connection));
-        // Counted from here on, so that a burst of connections is counted as it is accepted.
-        let permit = self.driver.unconditional_permit();
-        let clients = Rc::clone(self);
-        spawn_local(async move {
-            serve_client(&clients, stream, &connection).await;
-            clients.connections.borrow_mut().remove(&number);
-            drop(permit);
-        });
-    }
-
-    /// Closes a connection between requests to free a socket: preferably an evictable client connection,
-    /// which costs the client at most a new one, otherwise an idle upstream connection, otherwise any
-    /// client connection.
-    fn evict_one(&self) {
-        let connections = self.connections.borrow();
-        let candidate = connections
-            .values()
-            .filter(|connection| !connection.busy.get())
-            .min_by_key(|connection| connection.eviction_rank());
-        if candidate.is_some_and(|connection| connection.is_evictable())
-            || !self.driver.close_lru_idle_connection()
-        {
-            let Some(connection) = candidate else { return };
-            // Marked as busy, so that the next call evicts another one.
-            connection.busy.set(true);
-            connection.close_requested.notify_one();
-        }
-    }
-
-    /// Whether accepting a request would leave clients too few free connections to continue with. Serving is
-    /// about to end, so refusing a request at once, while its client can still reach another balancer,
-    /// costs less than losing the many requests that the free connections still carry. This protects
-    /// clients whose connection pool gives up a balancer that has no free connection. It does harm where
-    /// each connection is a separate client, which cannot use the connections of others.
-    fn lacks_free_connections(&self) -> bool {
-        if !self.draining.get() {
-            return false;
-        }
-        let connections = self.connections.borrow();
-        let free = connections.values().filter(|connection| !connection.busy.get()).count();
-        // With few connections, those kept free would be most of them.
-        connections.len() >= MIN_FREE_CONNECTIONS * 2 && free < MIN_FREE_CONNECTIONS
-    }
-
-    /// Whether an answer may still be outstanding on some connection.
-    fn may_owe_answers(&self) -> bool {
-        self.connections.borrow().values().any(|connection| connection.used.get())
-    }
-}
-
 /// Binds the configured address and serves until `stop` completes and the drain after it is over. Each
 /// reloaded configuration, or the reason why it could not be read, arrives through `reloads`.
 ///
@@ -474,60 +306,6 @@
     }
 }
 
-/// Why a client's request is rejected as malformed.
-#[derive(Debug, Error, PartialEq, Eq)]
-enum BadRequest {
-    #[error("no such class")]
-    UnknownClass,
-    #[error("no such tenant")]
-    UnknownTenant,
-    #[error("the deadline is not a time in seconds")]
-    InvalidDeadline,
-    #[error("no request id")]
-    MissingId,
-    #[error("the method does not fit the class")]
-    WrongMethod,
-    #[error("the class wants an idempotency key")]
-    MissingIdempotencyKey,
-    #[error("the body is too large")]
-    TooLarge,
-    #[error("the body broke off")]
-    IncompleteBody,
-    #[error("the body came too slowly")]
-    BodyTimeout,
-    #[error("{0}")]
-    AmbiguousLength(#[from] AmbiguousLength),
-    #[error("what follows the body is no request")]
-    TrailingGarbage,
-    #[error("a request with this id is open")]
-    DuplicateId,
-}
-
-impl BadRequest {
-    /// The status of the response that rejects the request.
-    fn status(&self) -> StatusCode {
-        match self {
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::DuplicateId => StatusCode::CONFLICT,
-            _ => StatusCode::BAD_REQUEST,
-        }
-    }
-
-    /// Whether the fault leaves in doubt where the next request begins, so that the connection has to be
-    /// closed.
-    fn closes_connection(&self) -> bool {
-        matches!(
-            self,
-            Self::TooLarge
-                | Self::IncompleteBody
-                | Self::BodyTimeout
-                | Self::AmbiguousLength(_)
-                | Self::TrailingGarbage
-        )
-    }
-}
-
 /// Makes the response to a request; `framing` tells whether its length is unambiguous.
 async fn respond(
     clients: &Clients,
@@ -662,119 +440,5 @@
     Some(answer)
 }
 
-/// The value of a header; `None` if it is absent or not printable ASCII text.
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
-/// The value of a header, unless it is absent or empty.
-fn non_empty_header(headers: &HeaderMap, name: &str) -> Option<HeaderValue> {
-    headers.get(name).filter(|value| !value.is_empty()).cloned()
-}
-
-/// Parses a time in seconds, as clients write it.
-fn parse_seconds(value: &str) -> Option<Duration> {
-    value.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
-}
-
-/// The class, tenant and time limit of a request, as determined by the settings.
-struct Classification {
-    /// The class of the request.
-    class: ClassId,
-    /// The tenant of the request; `None` where the settings have no tenants.
-    tenant: Option<TenantId>,
-    /// How long the client waits for the answer.
-    time_limit: Duration,
-}
-
-/// Finds a request's class, tenant and time limit by the settings in force, and checks that its method and
-/// headers fit the class.
-fn classify(active_config: &ActiveConfig, head: &Parts) -> Result<Classification, BadRequest> {
-    let names = active_config.names();
-    let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = ClassId(*names.classes.get(class).ok_or(BadRequest::UnknownClass)?);
-    let class_settings = active_config.class(class).ok_or(BadRequest::UnknownClass)?;
-    match class_settings.idempotency {
-        Idempotency::Idempotent if head.method != Method::GET => return Err(BadRequest::WrongMethod),
-        Idempotency::Deduplicated { .. } if non_empty_header(&head.headers, IDEMPOTENCY_KEY).is_none() => {
-            return Err(BadRequest::MissingIdempotencyKey);
-        }
-        Idempotency::Deduplicated { .. } | Idempotency::NonIdempotent if head.method != Method::POST => {
-            return Err(BadRequest::WrongMethod);
-        }
-        _ => {}
-    }
-    let tenant = match header_text(&head.headers, "x-tenant") {
-        Some(name) => Some(TenantId(*names.tenants.get(name).ok_or(BadRequest::UnknownTenant)?)),
-        None if names.tenants.is_empty() => None,
-        None => return Err(BadRequest::UnknownTenant),
-    };
-    // A client that states no deadline is taken to wait as long as its class allows.
-    let time_limit = match head.headers.get("x-deadline") {
-        Some(value) => value.to_str().ok().and_then(parse_seconds).ok_or(BadRequest::InvalidDeadline)?,
-        None => class_settings.deadline,
-    };
-    Ok(Classification { class, tenant, time_limit: time_limit.min(class_settings.deadline * 10) })
-}
-
-/// Reads a request including its body, and checks it against the settings in force.
-async fn read_request(
-    driver: &Driver,
-    request: Request<Incoming>,
-    body_deadline: Instant,
-) -> Result<ClientRequest, BadRequest> {
-    let (head, body) = request.into_parts();
-    let initial_config = driver.active_config();
-    let mut classification = classify(&initial_config, &head)?;
-    let request_id = non_empty_header(&head.headers, "x-request-id").ok_or(BadRequest::MissingId)?;
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(BadRequest::TooLarge);
-    }
-    let body = match timeout_at(body_deadline, read_body(body)).await {
-        Err(_) => return Err(BadRequest::BodyTimeout),
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
-        Ok(Err(_)) => return Err(BadRequest::IncompleteBody),
-    };
-    // Settings that took effect while the body arrived apply to it: a request must not pass without an
-    // idempotency key that its class now requires.
-    let active_config = driver.active_config();
-    if !Rc::ptr_eq(&initial_config, &active_config) {
-        classification = self::classify(&active_config, &head)?;
-    }
-    let now = Instant::now();
-    let cost_hint_us = header_text(&head.headers, "x-cost-hint").and_then(|value| value.trim().parse().ok());
-    Ok(ClientRequest {
-        class: classification.class,
-        tenant: classification.tenant,
-        resource_key: resource_key(head.uri.query()),
-        expected_work: cost_hint_us.map(Duration::from_micros),
-        is_retry: header_text(&head.headers, "x-retry") == Some("1"),
-        deadline: now + classification.time_limit.saturating_sub(DEADLINE_MARGIN),
-        forwarded: Rc::new(ForwardedRequest {
-            method: head.method,
-            host: head.headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("upstream")),
-            uri: path_only(head.uri),
-            request_id,
-            idempotency_key: non_empty_header(&head.headers, IDEMPOTENCY_KEY),
-            body,
-        }),
-    })
-}
-
-/// Only path and query are forwarded, also of a request whose URI names the host.
-fn path_only(uri: Uri) -> Uri {
-    if uri.scheme().is_none() {
-        return uri;
-    }
-    uri.into_parts().path_and_query.map(Uri::from).unwrap_or_default()
-}
-
-/// The resource that a request is about, from the query parameter `k` (hexadecimal).
-fn resource_key(query: Option<&str>) -> Option<u64> {
-    let value = query?.split('&').find_map(|pair| pair.strip_prefix("k="))?;
-    u64::from_str_radix(value, 16).ok()
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/proxy/src/server/request.rs
@@ -0,0 +1,192 @@
+//! Requests of clients: how they are read and checked, and why one is rejected.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::LengthLimitError;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, StatusCode, Uri};
+use stilelead_decision::interface::{ClassId, Idempotency, TenantId};
+use thiserror::Error;
+use tokio::time::{Instant, timeout_at};
+
+use crate::active_config::ActiveConfig;
+use crate::driver::{ClientRequest, Driver};
+use crate::framing::AmbiguousLength;
+use crate::upstream::{ForwardedRequest, MAX_BODY_BYTES, read_body};
+
+/// The time kept for delivering the answer. It is subtracted from the client's time limit, in each tier
+/// again, because the answer has to arrive within that limit.
+pub const DEADLINE_MARGIN: Duration = Duration::from_millis(8);
+/// The header by which upstreams recognise a repeated request.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Why a client's request is rejected as malformed.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub(super) enum BadRequest {
+    #[error("no such class")]
+    UnknownClass,
+    #[error("no such tenant")]
+    UnknownTenant,
+    #[error("the deadline is not a time in seconds")]
+    InvalidDeadline,
+    #[error("no request id")]
+    MissingId,
+    #[error("the method does not fit the class")]
+    WrongMethod,
+    #[error("the class wants an idempotency key")]
+    MissingIdempotencyKey,
+    #[error("the body is too large")]
+    TooLarge,
+    #[error("the body broke off")]
+    IncompleteBody,
+    #[error("the body came too slowly")]
+    BodyTimeout,
+    #[error("{0}")]
+    AmbiguousLength(#[from] AmbiguousLength),
+    #[error("what follows the body is no request")]
+    TrailingGarbage,
+    #[error("a request with this id is open")]
+    DuplicateId,
+}
+
+impl BadRequest {
+    /// The status of the response that rejects the request.
+    pub(super) fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::DuplicateId => StatusCode::CONFLICT,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    /// Whether the fault leaves in doubt where the next request begins, so that the connection has to be
+    /// closed.
+    pub(super) fn closes_connection(&self) -> bool {
+        matches!(
+            self,
+            Self::TooLarge
+                | Self::IncompleteBody
+                | Self::BodyTimeout
+                | Self::AmbiguousLength(_)
+                | Self::TrailingGarbage
+        )
+    }
+}
+
+/// The value of a header; `None` if it is absent or not printable ASCII text.
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The value of a header, unless it is absent or empty.
+fn non_empty_header(headers: &HeaderMap, name: &str) -> Option<HeaderValue> {
+    headers.get(name).filter(|value| !value.is_empty()).cloned()
+}
+
+/// Parses a time in seconds, as clients write it.
+fn parse_seconds(value: &str) -> Option<Duration> {
+    value.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+}
+
+/// The class, tenant and time limit of a request, as determined by the settings.
+struct Classification {
+    /// The class of the request.
+    class: ClassId,
+    /// The tenant of the request; `None` where the settings have no tenants.
+    tenant: Option<TenantId>,
+    /// How long the client waits for the answer.
+    time_limit: Duration,
+}
+
+/// Finds a request's class, tenant and time limit by the settings in force, and checks that its method and
+/// headers fit the class.
+fn classify(active_config: &ActiveConfig, head: &Parts) -> Result<Classification, BadRequest> {
+    let names = active_config.names();
+    let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    let class = ClassId(*names.classes.get(class).ok_or(BadRequest::UnknownClass)?);
+    let class_settings = active_config.class(class).ok_or(BadRequest::UnknownClass)?;
+    match class_settings.idempotency {
+        Idempotency::Idempotent if head.method != Method::GET => return Err(BadRequest::WrongMethod),
+        Idempotency::Deduplicated { .. } if non_empty_header(&head.headers, IDEMPOTENCY_KEY).is_none() => {
+            return Err(BadRequest::MissingIdempotencyKey);
+        }
+        Idempotency::Deduplicated { .. } | Idempotency::NonIdempotent if head.method != Method::POST => {
+            return Err(BadRequest::WrongMethod);
+        }
+        _ => {}
+    }
+    let tenant = match header_text(&head.headers, "x-tenant") {
+        Some(name) => Some(TenantId(*names.tenants.get(name).ok_or(BadRequest::UnknownTenant)?)),
+        None if names.tenants.is_empty() => None,
+        None => return Err(BadRequest::UnknownTenant),
+    };
+    // A client that states no deadline is taken to wait as long as its class allows.
+    let time_limit = match head.headers.get("x-deadline") {
+        Some(value) => value.to_str().ok().and_then(parse_seconds).ok_or(BadRequest::InvalidDeadline)?,
+        None => class_settings.deadline,
+    };
+    Ok(Classification { class, tenant, time_limit: time_limit.min(class_settings.deadline * 10) })
+}
+
+/// Reads a request including its body, and checks it against the settings in force.
+pub(super) async fn read_request(
+    driver: &Driver,
+    request: Request<Incoming>,
+    body_deadline: Instant,
+) -> Result<ClientRequest, BadRequest> {
+    let (head, body) = request.into_parts();
+    let initial_config = driver.active_config();
+    let mut classification = classify(&initial_config, &head)?;
+    let request_id = non_empty_header(&head.headers, "x-request-id").ok_or(BadRequest::MissingId)?;
+    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+        return Err(BadRequest::TooLarge);
+    }
+    let body = match timeout_at(body_deadline, read_body(body)).await {
+        Err(_) => return Err(BadRequest::BodyTimeout),
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
+        Ok(Err(_)) => return Err(BadRequest::IncompleteBody),
+    };
+    // Settings that took effect while the body arrived apply to it: a request must not pass without an
+    // idempotency key that its class now requires.
+    let active_config = driver.active_config();
+    if !Rc::ptr_eq(&initial_config, &active_config) {
+        classification = self::classify(&active_config, &head)?;
+    }
+    let now = Instant::now();
+    let cost_hint_us = header_text(&head.headers, "x-cost-hint").and_then(|value| value.trim().parse().ok());
+    Ok(ClientRequest {
+        class: classification.class,
+        tenant: classification.tenant,
+        resource_key: resource_key(head.uri.query()),
+        expected_work: cost_hint_us.map(Duration::from_micros),
+        is_retry: header_text(&head.headers, "x-retry") == Some("1"),
+        deadline: now + classification.time_limit.saturating_sub(DEADLINE_MARGIN),
+        forwarded: Rc::new(ForwardedRequest {
+            method: head.method,
+            host: head.headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("upstream")),
+            uri: path_only(head.uri),
+            request_id,
+            idempotency_key: non_empty_header(&head.headers, IDEMPOTENCY_KEY),
+            body,
+        }),
+    })
+}
+
+/// Only path and query are forwarded, also of a request whose URI names the host.
+fn path_only(uri: Uri) -> Uri {
+    if uri.scheme().is_none() {
+        return uri;
+    }
+    uri.into_parts().path_and_query.map(Uri::from).unwrap_or_default()
+}
+
+/// The resource that a request is about, from the query parameter `k` (hexadecimal).
+fn resource_key(query: Option<&str>) -> Option<u64> {
+    let value = query?.split('&').find_map(|pair| pair.strip_prefix("k="))?;
+    u64::from_str_radix(value, 16).ok()
+}
