Keep large requests and answers within shares of limits.memory_mb

Callers saw: 277 clients that stopped within a body of 65,500 bytes took a balancer with 32 MB to 33.8 to 38.2 MB within 0.1 s; the platform killed it, all requests in progress were lost, and clients found nobody until the restart.

Cause: config.rs read only limits.sockets, so nothing knew the limit of memory. server.rs read the body of every connection whatever the others held, and upstream.rs, read_body, let its buffer double from the size of the first piece: up to 128 KiB for 65,000 bytes.

The doubling alone is not it: with buffers of the exact size 277 bodies still need 89 KiB each, and more peers more. Ruled out: a leak (100 peers hold as much each as 277), fragmentation (bodies only ever grow in this case).

Change: memory.rs divides the limit into shares; large heads and bodies of requests, and large answers, hold a reservation for as long as their bytes, up to the last byte taken by the peer. Messages of up to 2 KiB need none, so that ordinary requests are served during a flood. When requests run short, arrival.rs takes memory back from the arriving one that has held the most for the longest (503 and close, nothing of it was sent on); if there is none older than 250 ms the new one gets the 503. Large answers wait at their upstream until there is memory, up to the deadline of the attempt. The limit follows a reload. hyper's read buffers no longer grow with a body, and are not filled with zeros before each read.

Why it works: each share is a fixed number of bytes that no number of peers exceeds, and all of them together with the program are below the limit, whichever peers fill which.

--- a/proxy/src/active_config.rs
+++ b/proxy/src/active_config.rs
@@ -10,6 +10,7 @@
 use stilelead_simulator::setup::Names;
 
 use crate::config::Config;
+use crate::memory::{BYTES_PER_MEGABYTE, MemoryPlan};
 use crate::reload::{Changes, Difference, NameList, ReloadError};
 
 /// The share of the configured keep-alive time after which an idle connection is closed. The balancer closes
@@ -54,6 +55,8 @@
     discovery: SocketAddr,
     /// The number of file descriptors that the process may have open.
     max_descriptors: usize,
+    /// The memory that the process may use, in megabytes.
+    memory_mb: usize,
     /// The names that the settings accept, with their positions.
     names: Names,
     /// The positions of all names since the start, including those no longer accepted.
@@ -81,6 +84,7 @@
             seed: config.seed,
             discovery: config.discovery,
             max_descriptors: config.max_descriptors,
+            memory_mb: config.memory_mb,
             names,
             assigned,
             settings: config.parsed_settings.settings,
@@ -141,6 +145,7 @@
             } else {
                 self.max_descriptors
             },
+            memory_mb: config.memory_mb,
             names,
             assigned,
             settings,
@@ -199,6 +204,7 @@
             ("me", u64::from(old.replica_index), u64::from(new.replica_index)),
             ("tier", old.tier as u64, new.tier as u64),
             ("limits.sockets", self.max_descriptors as u64, next.max_descriptors as u64),
+            ("limits.memory_mb", self.memory_mb as u64, next.memory_mb as u64),
         ];
         let changed = integers.into_iter().filter(|(_, from, to)| from != to);
         differences.extend(changed.map(|(name, from, to)| Difference::Integer { name, from, to }));
@@ -250,6 +256,12 @@
         self.max_descriptors
     }
 
+    /// How the memory that the process may use is divided.
+    #[must_use]
+    pub fn memory_plan(&self) -> MemoryPlan {
+        MemoryPlan::for_limit(self.memory_mb.saturating_mul(BYTES_PER_MEGABYTE))
+    }
+
     /// The time limit for establishing a connection to an upstream.
     #[must_use]
     pub fn connect_timeout(&self) -> Duration {
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -85,11 +85,13 @@
     /// The number of file descriptors that the process may have open.
     #[serde(rename = "sockets")]
     max_descriptors: usize,
+    /// The memory that the process may use, in megabytes.
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_descriptors: DEFAULT_MAX_DESCRIPTORS }
+        Self { max_descriptors: DEFAULT_MAX_DESCRIPTORS, memory_mb: DEFAULT_MEMORY_MB }
     }
 }
 
@@ -106,6 +108,8 @@
     pub seed: u64,
     /// The number of file descriptors that the process may have open.
     pub max_descriptors: usize,
+    /// The memory that the process may use, in whole megabytes.
+    pub memory_mb: usize,
     /// The list of upstreams to start with, which may be out of date.
     pub initial_list: Option<Update>,
     /// The settings object, parsed.
@@ -150,6 +154,11 @@
             let expected = format!("at least {MIN_DESCRIPTORS}");
             return Err(invalid_value("limits.sockets", &file.limits.max_descriptors.to_string(), expected));
         }
+        let memory_mb = file.limits.memory_mb;
+        if !memory_mb.is_finite() || memory_mb < MIN_MEMORY_MB {
+            let expected = format!("at least {MIN_MEMORY_MB}");
+            return Err(invalid_value("limits.memory_mb", &memory_mb.to_string(), expected));
+        }
         Ok(Self {
             name: variable("PROXY_NAME").unwrap_or(file.name),
             listen: parse_address("listen", listen)?,
@@ -162,6 +171,7 @@
                 })?
             },
             max_descriptors: file.limits.max_descriptors,
+            memory_mb: memory_mb as usize,
             initial_list: file.initial_list,
             parsed_settings,
         })
@@ -170,6 +180,10 @@
 
 /// The number of file descriptors that the process may have open if the file does not set `limits.sockets`.
 const DEFAULT_MAX_DESCRIPTORS: usize = 1024;
+/// The memory in megabytes that the process may use if the file does not set `limits.memory_mb`.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+/// The smallest limit of memory in megabytes that is accepted: with less, none would be left for peers.
+const MIN_MEMORY_MB: f64 = 16.0;
 /// The largest configuration file that is accepted. It includes the list of upstreams, so that the limit is
 /// that of a discovery message.
 const MAX_FILE_BYTES: u64 = 8 << 20;
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, header};
 use serde::{Deserialize, Deserializer, Serialize};
@@ -13,6 +12,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
+use crate::memory::ReservedBytes;
 use crate::metrics::WatchEnd;
 use crate::permit::Permit;
 use crate::upstream::{self, ConnectError, ConnectTarget};
@@ -191,7 +191,7 @@
     let mut connection = upstream::connect(events.reserve_descriptor(), target).await?;
     let request = Request::get(format!("/catalog/members?follow=1&since={since}"))
         .header(header::HOST, address.to_string())
-        .body(Full::<Bytes>::default())
+        .body(Full::<ReservedBytes>::default())
         .unwrap_or_default();
     let response = timeout_at(deadline, connection.sender.send_request(request))
         .await
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -6,9 +6,9 @@
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rustc_hash::{FxHashMap, FxHashSet};
 use stilelead_decision::interface::{
     AttemptEnded, AttemptNumber, ClassId, DiscoveryUpdate, Outcome, Request, RequestId, SettingsError,
@@ -21,10 +21,12 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::active_config::ActiveConfig;
+use crate::arrival::ArrivalMemory;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::directory::{Directory, UpdateSource};
 use crate::discovery::{self, Update, WatchError, WatchEvents, WatchId};
+use crate::memory::{MemoryPool, ReservedBytes};
 use crate::metrics::Metrics;
 use crate::permit::Permit;
 use crate::reload::{Changes, ReloadError};
@@ -41,7 +43,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
     /// The body that an upstream answered with.
-    Served(Bytes),
+    Served(ReservedBytes),
     /// The request was not executed: the client may safely retry.
     Refused {
         /// How long the client should wait before it retries.
@@ -139,6 +141,12 @@
     metrics: Metrics,
     /// Number of connections counted by permits.
     open_sockets: Rc<Cell<usize>>,
+    /// The memory for large heads and bodies of requests.
+    request_memory: Arc<MemoryPool>,
+    /// The part of `request_memory` that requests hold which are still arriving.
+    arrival_memory: Rc<ArrivalMemory>,
+    /// The memory for large answers.
+    answer_memory: Arc<MemoryPool>,
     /// When the program ends, once it is shutting down.
     shutdown_deadline: Cell<Option<Instant>>,
 }
@@ -152,6 +160,8 @@
         let clock = Clock::start();
         let (seed, initial_list) = (config.seed, config.initial_list.take());
         let active_config = ActiveConfig::start(config);
+        let memory_plan = active_config.memory_plan();
+        let request_memory = MemoryPool::new(memory_plan.request_bytes);
         let core = Core {
             balancer: Balancer::new(active_config.settings(), seed)?,
             events: VecDeque::new(),
@@ -169,6 +179,9 @@
             clock,
             metrics: Metrics::new(),
             open_sockets: Rc::new(Cell::new(0)),
+            arrival_memory: ArrivalMemory::new(Arc::clone(&request_memory)),
+            request_memory,
+            answer_memory: MemoryPool::new(memory_plan.answer_bytes),
             shutdown_deadline: Cell::new(None),
         });
         // The subscription asks for changes since the configured list, so that list is applied first. If it
@@ -208,11 +221,25 @@
         &self.metrics
     }
 
+    /// The memory for requests that are arriving from clients.
+    #[must_use]
+    pub fn arrival_memory(&self) -> &Rc<ArrivalMemory> {
+        &self.arrival_memory
+    }
+
+    /// The memory for large answers of upstreams.
+    #[must_use]
+    pub fn answer_memory(&self) -> &Arc<MemoryPool> {
+        &self.answer_memory
+    }
+
     /// All metrics in the OpenMetrics text format.
     #[must_use]
     pub fn metrics_text(&self) -> String {
         let requests_open = self.core.borrow().requests.len();
         self.metrics.set_usage(requests_open, self.open_sockets.get() + RESERVED_DESCRIPTORS);
+        self.metrics
+            .set_reserved_memory(self.request_memory.reserved_bytes(), self.answer_memory.reserved_bytes());
         self.metrics.text()
     }
 
@@ -223,8 +250,11 @@
     pub fn reconfigure(self: &Rc<Self>, config: Config) -> Result<Changes, ReloadError> {
         let old = self.active_config();
         let (new, changes) = old.replaced_by(config, self.open_sockets.get() + RESERVED_DESCRIPTORS)?;
-        let (discovery, settings) = (new.discovery(), new.settings());
+        let (discovery, settings, memory_plan) = (new.discovery(), new.settings(), new.memory_plan());
         self.active_config.replace(Rc::new(new));
+        self.request_memory.set_limit(memory_plan.request_bytes);
+        self.answer_memory.set_limit(memory_plan.answer_bytes);
+        self.arrival_memory.evict_excess();
         if settings != old.settings() {
             self.handle(Event::SettingsChanged(Box::new(settings)));
         }
@@ -261,9 +291,11 @@
         self.open_sockets.get() > self.max_connections()
     }
 
-    /// How many connections the budget of descriptors allows.
+    /// How many connections the limits of descriptors and of memory allow.
     fn max_connections(&self) -> usize {
-        self.active_config.borrow().max_descriptors().saturating_sub(RESERVED_DESCRIPTORS)
+        let active_config = self.active_config.borrow();
+        let descriptors = active_config.max_descriptors().saturating_sub(RESERVED_DESCRIPTORS);
+        descriptors.min(active_config.memory_plan().max_connections)
     }
 
     /// Permits an upstream connection if the budget allows one; near the limit an idle connection is closed
--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -8,24 +8,36 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use bytes::BufMut;
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::arrival::{Arrival, OutOfMemory};
+use crate::memory::UNRESERVED_MESSAGE_BYTES;
+
 /// The head gives no unambiguous length for its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("the lengths contradict each other")]
 pub struct AmbiguousLength;
 
+/// Maximum size of a request head, and so of hyper's buffer for a connection.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes kept of what a client sends before it has its answer: the size of a head.
 /// Clients send one request at a time, and many clients must not fill the memory.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+const MAX_READ_AHEAD_BYTES: usize = MAX_HEAD_BYTES;
+/// By how much hyper's buffer grows for a large head; it stays that large until the connection is closed.
+const PARSER_GROWTH_BYTES: usize = MAX_HEAD_BYTES / 2;
+/// Maximum number of bytes that are read at a time: hyper doubles its buffer after a read that fills it.
+pub const MAX_READ_BYTES: usize = 4 * 1024;
 
 /// A client's received bytes that belong to no request processed so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PendingInput {
+    /// The memory for the bytes below, and for the rest of the request.
+    arrival: Rc<Arrival>,
     /// Bytes that hyper has read.
     received: RefCell<Vec<u8>>,
     /// Bytes that were read from the socket ahead of hyper, which it has yet to read.
@@ -36,9 +48,31 @@
     body_remaining: Cell<u64>,
     /// When the first of the bytes in `received` arrived.
     pending_since: Cell<Option<Instant>>,
+    /// Whether hyper's buffer has grown for a large head.
+    parser_has_grown: Cell<bool>,
 }
 
 impl PendingInput {
+    /// Nothing has been received yet; larger requests take their memory from `arrival`.
+    #[must_use]
+    pub fn new(arrival: Rc<Arrival>) -> Self {
+        Self {
+            arrival,
+            received: RefCell::default(),
+            read_ahead: RefCell::default(),
+            read_ahead_overflowed: Cell::new(false),
+            body_remaining: Cell::new(0),
+            pending_since: Cell::new(None),
+            parser_has_grown: Cell::new(false),
+        }
+    }
+
+    /// The memory of the request that is arriving.
+    #[must_use]
+    pub fn arrival(&self) -> &Arrival {
+        &self.arrival
+    }
+
     /// When the first byte of the next request arrived; `None` if there is none yet.
     #[must_use]
     pub fn pending_since(&self) -> Option<Instant> {
@@ -80,12 +114,72 @@
         let consumed = usize::try_from(body_bytes).unwrap_or(usize::MAX).min(available);
         self.body_remaining.set(body_bytes - consumed as u64);
         bytes.drain(..head_bytes + consumed);
-        if bytes.is_empty() {
-            // An idle connection holds no memory here.
-            *bytes = Vec::new();
-        } else {
+        if !bytes.is_empty() {
             self.pending_since.set(Some(Instant::now()));
         }
+        if bytes.len() <= UNRESERVED_MESSAGE_BYTES {
+            // An idle connection holds no memory here.
+            bytes.shrink_to_fit();
+        }
+        self.arrival.shrink_buffers(self.buffer_bytes(bytes.len(), self.read_ahead.borrow().len()));
+    }
+
+    /// The memory to be reserved for buffers that hold these numbers of bytes.
+    fn buffer_bytes(&self, received_bytes: usize, read_ahead_bytes: usize) -> usize {
+        let parser_bytes = if self.parser_has_grown.get() { PARSER_GROWTH_BYTES } else { 0 };
+        let large_buffers = [received_bytes, read_ahead_bytes]
+            .into_iter()
+            .filter(|&buffered_bytes| buffered_bytes > UNRESERVED_MESSAGE_BYTES);
+        parser_bytes + large_buffers.count() * MAX_HEAD_BYTES
+    }
+
+    /// How many bytes hyper may read now. Memory for a large head is reserved before it is read.
+    ///
+    /// # Errors
+    /// There is no memory left for a large head.
+    fn readable_bytes(&self) -> Result<usize, OutOfMemory> {
+        let received_bytes = self.received.borrow().len();
+        let body_bytes = usize::try_from(self.body_remaining.get()).unwrap_or(usize::MAX);
+        let unreserved_bytes = UNRESERVED_MESSAGE_BYTES.saturating_sub(received_bytes);
+        if body_bytes == 0 && unreserved_bytes == 0 {
+            self.parser_has_grown.set(true);
+            let buffer_bytes = self.buffer_bytes(MAX_HEAD_BYTES, self.read_ahead.borrow().len());
+            self.arrival.reserve_buffers(buffer_bytes)?;
+            return Ok(MAX_READ_BYTES);
+        }
+        Ok(body_bytes.saturating_add(unreserved_bytes).min(MAX_READ_BYTES))
+    }
+
+    /// Keeps bytes that were read ahead of hyper, unless they are too many or there is no memory for them.
+    fn keep_read_ahead(&self, bytes: &[u8]) {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let read_ahead_bytes = read_ahead.len() + bytes.len();
+        let buffer_bytes = self.buffer_bytes(self.received.borrow().len(), read_ahead_bytes);
+        if read_ahead_bytes > MAX_READ_AHEAD_BYTES || self.arrival.reserve_buffers(buffer_bytes).is_err() {
+            self.read_ahead_overflowed.set(true);
+            return;
+        }
+        if read_ahead_bytes > UNRESERVED_MESSAGE_BYTES {
+            let missing_bytes = MAX_READ_AHEAD_BYTES - read_ahead.len();
+            read_ahead.reserve_exact(missing_bytes);
+        }
+        read_ahead.extend_from_slice(bytes);
+    }
+
+    /// Moves bytes that were read ahead to hyper; returns whether there were any.
+    fn take_read_ahead(&self, buffer: &mut ReadBuf<'_>, limit: usize) -> bool {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let bytes = read_ahead.len().min(buffer.remaining()).min(limit);
+        if bytes == 0 {
+            return false;
+        }
+        self.record(&read_ahead[..bytes]);
+        buffer.put_slice(&read_ahead[..bytes]);
+        read_ahead.drain(..bytes);
+        if read_ahead.len() <= UNRESERVED_MESSAGE_BYTES {
+            read_ahead.shrink_to_fit();
+        }
+        true
     }
 
     /// Whether the bytes after the current request cannot begin another one, which means that its length
@@ -108,14 +202,7 @@
         while stream.readable().await.is_ok() {
             match stream.try_read(&mut buffer) {
                 Ok(0) => return,
-                Ok(bytes) => {
-                    let mut read_ahead = self.read_ahead.borrow_mut();
-                    if read_ahead.len() + bytes > MAX_READ_AHEAD_BYTES {
-                        self.read_ahead_overflowed.set(true);
-                    } else {
-                        read_ahead.extend_from_slice(&buffer[..bytes]);
-                    }
-                }
+                Ok(bytes) => self.keep_read_ahead(&buffer[..bytes]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
@@ -138,7 +225,12 @@
             if self.pending_since.get().is_none() {
                 self.pending_since.set(Some(Instant::now()));
             }
-            self.received.borrow_mut().extend_from_slice(bytes);
+            let mut received = self.received.borrow_mut();
+            if received.len() + bytes.len() > UNRESERVED_MESSAGE_BYTES {
+                let missing_bytes = MAX_HEAD_BYTES.saturating_sub(received.len());
+                received.reserve_exact(missing_bytes);
+            }
+            received.extend_from_slice(bytes);
         }
     }
 }
@@ -220,21 +312,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut read_ahead = self.input.read_ahead.take();
-        if !read_ahead.is_empty() {
-            let remaining = read_ahead.split_off(read_ahead.len().min(buffer.remaining()));
-            self.input.read_ahead.replace(remaining);
-            self.input.record(&read_ahead);
-            buffer.put_slice(&read_ahead);
+        let limit =
+            self.input.readable_bytes().map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))?;
+        if self.input.take_read_ahead(buffer, limit) {
             return Poll::Ready(Ok(()));
         }
+        let filled_before = buffer.filled().len();
         loop {
             ready!(self.stream.poll_read_ready(context))?;
-            let unfilled = buffer.initialize_unfilled();
-            match self.stream.try_read(unfilled) {
-                Ok(bytes) => {
-                    self.input.record(&unfilled[..bytes]);
-                    buffer.advance(bytes);
+            match self.stream.try_read_buf(&mut (&mut *buffer).limit(limit)) {
+                Ok(_) => {
+                    self.input.record(&buffer.filled()[filled_before..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
--- a/proxy/src/framing/tests.rs
+++ b/proxy/src/framing/tests.rs
@@ -1,9 +1,11 @@
 //! How requests are separated, which has to agree with hyper's parser.
 
 use super::*;
+use crate::arrival::ArrivalMemory;
+use crate::memory::MemoryPool;
 
 fn consume(text: &str) -> (Result<(), AmbiguousLength>, PendingInput) {
-    let input = PendingInput::default();
+    let input = PendingInput::new(ArrivalMemory::new(MemoryPool::new(0)).register());
     input.record(text.as_bytes());
     (input.consume_request(), input)
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -5,6 +5,8 @@
 //! borrowed across an await.
 
 pub mod active_config;
+pub mod arrival;
+pub mod body;
 pub mod clock;
 pub mod config;
 pub mod directory;
@@ -12,6 +14,7 @@
 pub mod driver;
 pub mod framing;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod permit;
 pub mod reload;
--- a/proxy/src/metrics.rs
+++ b/proxy/src/metrics.rs
@@ -36,6 +36,8 @@
     AttemptFailed,
     /// No file descriptor was left for an attempt.
     Descriptors,
+    /// No memory was left for the request.
+    Memory,
     /// The process is shutting down and keeps its last free client connections free.
     ShuttingDown,
 }
@@ -88,6 +90,10 @@
     Idle,
     /// The connection's descriptor was needed for another connection.
     Evicted,
+    /// The connection's memory was needed for other requests.
+    Memory,
+    /// The client did not read its answer.
+    Stalled,
     /// The process is shutting down.
     ShuttingDown,
 }
@@ -188,6 +194,10 @@
     requests_open: Gauge,
     /// File descriptors counted as in use.
     descriptors: Gauge,
+    /// Bytes reserved for large heads and bodies of requests.
+    request_memory: Gauge,
+    /// Bytes reserved for large answers.
+    answer_memory: Gauge,
 }
 
 impl Metrics {
@@ -249,6 +259,16 @@
             metrics.requests_open.clone(),
         );
         registry.register("descriptors", "Descriptors counted as in use", metrics.descriptors.clone());
+        registry.register(
+            "request_memory_bytes",
+            "Memory reserved for large requests",
+            metrics.request_memory.clone(),
+        );
+        registry.register(
+            "answer_memory_bytes",
+            "Memory reserved for large answers",
+            metrics.answer_memory.clone(),
+        );
         Self { registry, ..metrics }
     }
 
@@ -323,6 +343,12 @@
         self.descriptors.set(descriptors as i64);
     }
 
+    /// Sets the memory that is reserved for large requests and answers, in bytes.
+    pub fn set_reserved_memory(&self, request_bytes: usize, answer_bytes: usize) {
+        self.request_memory.set(request_bytes as i64);
+        self.answer_memory.set(answer_bytes as i64);
+    }
+
     /// All metrics as text.
     #[must_use]
     pub fn text(&self) -> String {
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -30,7 +30,8 @@
 
 use crate::config::{Config, ConfigError};
 use crate::driver::{Answer, ClientRequest, Driver};
-use crate::framing::{AmbiguousLength, InspectedStream, PendingInput};
+use crate::framing::{AmbiguousLength, InspectedStream, MAX_HEAD_BYTES, PendingInput};
+use crate::memory::ReservedBytes;
 use crate::metrics::{self, CloseReason, UnservedCause};
 use crate::reload;
 
@@ -69,8 +70,6 @@
 /// Time for a request to arrive completely, including its body; counts from the same moment as
 /// `HEAD_TIMEOUT`.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Maximum size of a request head, and so of hyper's buffer for a connection.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Path of the operator's metrics.
 const METRICS_PATH: &str = "/_metrics";
 /// Pause after a failed accept, so that running out of descriptors does not cause a busy loop.
@@ -175,6 +174,7 @@
             .filter(|_| connection.used.get())
             .unwrap_or(connection.last_activity.get());
         let framing = connection.input.consume_request();
+        connection.input.arrival().begin_request();
         connection.busy.set(true);
         connection.used.set(true);
         async move {
@@ -184,6 +184,7 @@
             }
             let mut response =
                 respond(clients, request, framing, began_at + BODY_TIMEOUT, &connection.input, &stream).await;
+            connection.input.arrival().end_request();
             connection.busy.set(false);
             connection.last_activity.set(Instant::now());
             if *clients.phases.borrow() != Phase::Serving || driver.over_socket_budget() {
@@ -209,6 +210,7 @@
                 connection.finished.set(true);
                 CloseReason::Evicted
             }
+            () = connection.input.arrival().connection_evicted() => CloseReason::Memory,
         }
     };
     let reason = tokio::select! {
@@ -314,7 +316,7 @@
     body_deadline: Instant,
     input: &PendingInput,
     stream: &TcpStream,
-) -> Response<Full<Bytes>> {
+) -> Response<Full<ReservedBytes>> {
     let driver = &clients.driver;
     if request.uri().path() == "/_health" {
         let status = if driver.can_serve() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -329,7 +331,7 @@
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let answer = async {
         framing?;
-        let request = read_request(driver, request, body_deadline).await?;
+        let request = read_request(driver, request, body_deadline, input.arrival()).await?;
         if input.is_followed_by_garbage() {
             return Err(BadRequest::TrailingGarbage);
         }
@@ -356,6 +358,12 @@
             driver.metrics().request_answered(answer_label(&answer));
             (client_response(answer), chunked)
         }
+        Err(BadRequest::OutOfMemory(_)) => {
+            driver.metrics().request_unserved(UnservedCause::Memory);
+            driver.metrics().request_answered(metrics::AnswerKind::Refused);
+            tracing::debug!(reason = ?UnservedCause::Memory, "request refused");
+            (client_response(Answer::Refused { retry_after: driver.active_config().max_retry_after() }), true)
+        }
         Err(error) => {
             driver.metrics().request_answered(metrics::AnswerKind::Malformed);
             tracing::debug!(%error, "request rejected");
@@ -378,7 +386,7 @@
 }
 
 /// The HTTP response that gives the final answer to the client.
-fn client_response(answer: Answer) -> Response<Full<Bytes>> {
+fn client_response(answer: Answer) -> Response<Full<ReservedBytes>> {
     match answer {
         Answer::Served(body) => Response::new(Full::new(body)),
         Answer::Refused { retry_after } => {
@@ -395,8 +403,8 @@
 }
 
 /// A response with this status and body.
-fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(text.into()));
+fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<ReservedBytes>> {
+    let mut response = Response::new(Full::new(text.into().into()));
     *response.status_mut() = status;
     response
 }
--- a/proxy/src/server/clients.rs
+++ b/proxy/src/server/clients.rs
@@ -119,7 +119,7 @@
             busy: Cell::new(false),
             used: Cell::new(false),
             last_activity: Cell::new(Instant::now()),
-            input: Rc::default(),
+            input: Rc::new(PendingInput::new(self.driver.arrival_memory().register())),
             finished: Cell::new(false),
             close_requested: Notify::new(),
         });
--- a/proxy/src/server/request.rs
+++ b/proxy/src/server/request.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::LengthLimitError;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
@@ -13,9 +13,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::active_config::ActiveConfig;
+use crate::arrival::{Arrival, OutOfMemory};
+use crate::body::{MAX_BODY_BYTES, stated_length};
 use crate::driver::{ClientRequest, Driver};
 use crate::framing::AmbiguousLength;
-use crate::upstream::{ForwardedRequest, MAX_BODY_BYTES, read_body};
+use crate::memory::ReservedBytes;
+use crate::upstream::ForwardedRequest;
 
 /// The time kept for delivering the answer. It is subtracted from the client's time limit, in each tier
 /// again, because the answer has to arrive within that limit.
@@ -50,6 +53,8 @@
     TrailingGarbage,
     #[error("a request with this id is open")]
     DuplicateId,
+    #[error("{0}")]
+    OutOfMemory(#[from] OutOfMemory),
 }
 
 impl BadRequest {
@@ -59,6 +64,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::DuplicateId => StatusCode::CONFLICT,
+            Self::OutOfMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -73,6 +79,7 @@
                 | Self::BodyTimeout
                 | Self::AmbiguousLength(_)
                 | Self::TrailingGarbage
+                | Self::OutOfMemory(_)
         )
     }
 }
@@ -137,6 +144,7 @@
     driver: &Driver,
     request: Request<Incoming>,
     body_deadline: Instant,
+    arrival: &Arrival,
 ) -> Result<ClientRequest, BadRequest> {
     let (head, body) = request.into_parts();
     let initial_config = driver.active_config();
@@ -145,12 +153,8 @@
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(BadRequest::TooLarge);
     }
-    let body = match timeout_at(body_deadline, read_body(body)).await {
-        Err(_) => return Err(BadRequest::BodyTimeout),
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
-        Ok(Err(_)) => return Err(BadRequest::IncompleteBody),
-    };
+    let body =
+        timeout_at(body_deadline, read_body(arrival, body)).await.unwrap_or(Err(BadRequest::BodyTimeout))?;
     // Settings that took effect while the body arrived apply to it: a request must not pass without an
     // idempotency key that its class now requires.
     let active_config = driver.active_config();
@@ -177,6 +181,29 @@
     })
 }
 
+/// Reads the body of a request, for as long as its memory is not needed for other requests.
+async fn read_body(arrival: &Arrival, body: Incoming) -> Result<ReservedBytes, BadRequest> {
+    let stated_bytes = stated_length(&body);
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = arrival.body_evicted() => return Err(OutOfMemory.into()),
+            frame = body.frame() => frame,
+        };
+        match frame {
+            None => return Ok(arrival.finish_body()?),
+            Some(Ok(frame)) => {
+                if let Ok(piece) = frame.into_data() {
+                    arrival.push_body(&piece, stated_bytes)?;
+                }
+            }
+            Some(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
+            Some(Err(_)) => return Err(BadRequest::IncompleteBody),
+        }
+    }
+}
+
 /// Only path and query are forwarded, also of a request whose URI names the host.
 fn path_only(uri: Uri) -> Uri {
     if uri.scheme().is_none() {
--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -1,7 +1,6 @@
 //! Connections to upstreams and the attempts made on them: what is sent, and with what result.
 
 use std::cell::{Cell, RefCell};
-use std::error::Error;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -10,8 +9,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
@@ -27,11 +25,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::body::{MAX_BODY_BYTES, read_body};
 use crate::driver::Driver;
+use crate::memory::ReservedBytes;
 use crate::permit::Permit;
 
-/// Maximum size of a body, of requests and responses.
-pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of a response head, and so of hyper's buffer for an upstream connection.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes received for one request: enough for a body in the smallest reasonable chunks
@@ -69,7 +67,7 @@
 #[derive(Debug)]
 pub struct Connection {
     /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<Full<ReservedBytes>>,
     /// Counts the bytes of the connection's current request.
     traffic: Rc<Traffic>,
     /// Aborts the task that runs HTTP on the connection, which closes the socket.
@@ -242,12 +240,12 @@
     /// The `Idempotency-Key` header, if the client sent one.
     pub idempotency_key: Option<HeaderValue>,
     /// The complete body.
-    pub body: Bytes,
+    pub body: ReservedBytes,
 }
 
 impl ForwardedRequest {
     /// The HTTP request for one attempt; `time_left` is sent as its `X-Deadline`.
-    fn to_http(&self, time_left: Duration) -> Request<Full<Bytes>> {
+    fn to_http(&self, time_left: Duration) -> Request<Full<ReservedBytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -269,7 +267,7 @@
 
 /// Minimum number of bytes of a request on the socket: a low count, so that in doubt a request counts as
 /// possibly executed.
-fn min_bytes_on_wire(request: &Request<Full<Bytes>>, body_bytes: usize) -> u64 {
+fn min_bytes_on_wire(request: &Request<Full<ReservedBytes>>, body_bytes: usize) -> u64 {
     let path = request.uri().path_and_query().map_or(1, |path| path.as_str().len());
     let line = request.method().as_str().len() + 1 + path + " HTTP/1.1\r\n".len();
     let headers: usize = request
@@ -307,7 +305,7 @@
     /// How the attempt ended.
     pub outcome: Outcome,
     /// The body of the response, if the request was served.
-    pub body: Option<Bytes>,
+    pub body: Option<ReservedBytes>,
     /// The upstream's load report, if the response carried one.
     pub load: Option<LoadReport>,
 }
@@ -467,22 +465,6 @@
     }
 }
 
-/// Reads a complete body into a buffer of its own. A frame as received keeps the whole read buffer alive,
-/// even if it is a single byte, and thousands of them would fill the memory.
-///
-/// # Errors
-/// The body is larger than [`MAX_BODY_BYTES`], or incomplete.
-pub async fn read_body(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
-    let mut body = Limited::new(body, MAX_BODY_BYTES);
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-    }
-    Ok(bytes.into())
-}
-
 /// Reads a complete response. `None` if it cannot be used: it is incomplete or too large, or its length may
 /// be misread. Whatever it said, the request may have been executed.
 async fn read_answer(driver: &Driver, response: Response<Incoming>) -> Option<AttemptResult> {
@@ -505,7 +487,7 @@
     if !has_clear_end || body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return None;
     }
-    let body = read_body(body).await.ok()?;
+    let body = read_body(driver.answer_memory(), body).await.ok()?;
     let outcome = match head.status {
         StatusCode::OK => Outcome::Good,
         _ if not_run => Outcome::Refused,
--- a/proxy/src/upstream/tests.rs
+++ b/proxy/src/upstream/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::config::Config;
 use crate::config::tests::CONFIGURATION;
+use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
 
 fn forwarded(method: Method, body: &'static [u8]) -> ForwardedRequest {
@@ -12,7 +13,7 @@
         uri: Uri::from_static("/order?k=7f"),
         host: HeaderValue::from_static("origin.svc"),
         request_id: HeaderValue::from_static("r-1"),
-        body: Bytes::from_static(body),
+        body: Bytes::from_static(body).into(),
     }
 }
 
@@ -29,7 +30,9 @@
         let written = runtime.block_on(async {
             let (balancer_end, mut upstream_end) = duplex(1 << 16);
             let (mut sender, connection) =
-                http1::handshake::<_, Full<Bytes>>(TokioIo::new(balancer_end)).await.expect("no bytes yet");
+                http1::handshake::<_, Full<ReservedBytes>>(TokioIo::new(balancer_end))
+                    .await
+                    .expect("no bytes yet");
             let upstream = async {
                 let mut bytes = vec![0; size as usize];
                 upstream_end.read_exact(&mut bytes).await.expect("all computed bytes arrive");
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -507,6 +507,13 @@
     (address, log)
 }
 
+/// The peak memory use of a program so far, in KiB.
+pub fn peak_kib(program: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.id())).expect("the program runs");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak memory line");
+    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number")
+}
+
 // --- Clients ---
 
 /// A client connection to the balancer.
--- a/proxy/tests/floods.rs
+++ b/proxy/tests/floods.rs
@@ -10,13 +10,6 @@
 use common::*;
 use socket2::{Domain, Socket, Type};
 
-/// The peak memory use of a program so far, in KiB.
-fn peak_kib(program: &std::process::Child) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.id())).expect("the program runs");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak memory line");
-    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number")
-}
-
 /// Guards memory against bodies in chunks of one byte, which cost a hundred times their size if each chunk is
 /// kept as it arrives. Covers both directions, on many connections at once.
 #[test]
--- /dev/null
+++ b/proxy/tests/memory.rs
@@ -0,0 +1,184 @@
+//! The memory limit, at the smallest limit and the most descriptors that a balancer may get: whatever peers make it
+//! hold, the process stays within the limit, and ordinary clients are served.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::process::Child;
+
+use common::*;
+use serde_json::Value;
+
+/// The smallest memory limit in MB, and the most descriptors with it.
+const MEMORY_MB: u64 = 32;
+const DESCRIPTORS: usize = 1024;
+/// Clients hold at most a third of the descriptors for requests; some are left for the ordinary client of a test.
+const FLOODING_CLIENTS: usize = DESCRIPTORS / 3 - 11;
+/// Connections of peers that send no proper request are not limited to a third.
+const FLOODING_PEERS: usize = DESCRIPTORS - 124;
+/// The largest body that the protocol allows is a little larger.
+const LARGE_BODY_BYTES: usize = 65_000;
+
+fn limited_configuration(discovery: SocketAddr, known: &[Value], memory_mb: u64) -> String {
+    let text = configuration(discovery, known, 30.0, DESCRIPTORS);
+    let mut configuration: Value = serde_json::from_str(&text).expect("JSON");
+    configuration["limits"]["memory_mb"] = memory_mb.into();
+    configuration.to_string()
+}
+
+/// The program at the smallest memory limit before one upstream.
+struct LimitedProgram {
+    child: Child,
+    address: SocketAddr,
+    upstream: Upstream,
+    _discovery: Discovery,
+    _log: std::io::BufReader<std::process::ChildStderr>,
+}
+
+impl LimitedProgram {
+    fn start(upstream: Upstream) -> Self {
+        let discovery = Discovery::start();
+        let known = [endpoint("s-1", upstream.address, 0, "ready")];
+        let mut child = program(&limited_configuration(discovery.address, &known, MEMORY_MB));
+        let (address, _log) = address(&mut child);
+        Self { child, address, upstream, _discovery: discovery, _log }
+    }
+
+    /// Connects this many clients, each of which sends its bytes and then waits.
+    fn flood(&self, count: usize, bytes: impl Fn(usize) -> Vec<u8>) -> Vec<Client> {
+        (0..count)
+            .map(|number| {
+                let client = Client::connect(self.address);
+                write_some(&client, &bytes(number));
+                client
+            })
+            .collect()
+    }
+
+    /// Asserts that an ordinary request is served, and that the program was never over its memory limit.
+    fn assert_within_limit(&mut self) {
+        assert_eq!(Client::connect(self.address).ask("order", "ordinary").status(), 200);
+        let peak = peak_kib(&self.child);
+        self.child.kill().expect("the program runs");
+        self.child.wait().expect("the program ends");
+        assert!(peak * 1024 < MEMORY_MB * 1_000_000, "{peak} KiB");
+    }
+}
+
+/// Sends bytes that the balancer may have stopped reading; nothing waits for it.
+fn write_some(client: &Client, bytes: &[u8]) {
+    use std::io::Write;
+    client.0.set_nonblocking(true).expect("set the socket option");
+    let mut written = 0;
+    let give_up_at = std::time::Instant::now() + std::time::Duration::from_millis(200);
+    while written < bytes.len() && std::time::Instant::now() < give_up_at {
+        match (&client.0).write(&bytes[written..]) {
+            Ok(count) => written += count,
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => std::thread::yield_now(),
+            Err(_) => break,
+        }
+    }
+    client.0.set_nonblocking(false).expect("set the socket option");
+}
+
+/// A head that announces a body of this size.
+fn post_head(number: usize, body_bytes: usize) -> String {
+    format!(
+        "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: f-{number}\r\nX-Tenant: acme\r\nX-Deadline: 6\r\n\
+         Content-Length: {body_bytes}\r\n\r\n"
+    )
+}
+
+/// Guards the process from being killed for memory when many clients stop in the middle of a large body and
+/// stay: each gets an error or a close, and ordinary clients are served meanwhile.
+#[test]
+fn clients_that_stop_within_a_body_do_not_exhaust_the_memory() {
+    let mut program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
+    let body = vec![b'x'; LARGE_BODY_BYTES];
+    let clients = program.flood(FLOODING_CLIENTS, |number| {
+        [post_head(number, LARGE_BODY_BYTES + 500).as_bytes(), &body].concat()
+    });
+    let mut ordinary = Client::connect(program.address);
+    for _ in 0..20 {
+        assert_eq!(ordinary.ask("order", "ordinary").status(), 200);
+    }
+    for mut client in clients {
+        let answer = client.answer();
+        assert!(answer.is_none_or(|answer| matches!(answer.status(), 408 | 503)));
+    }
+    program.assert_within_limit();
+}
+
+/// Guards against the same with bodies whose length is not stated.
+#[test]
+fn clients_that_stop_within_a_chunked_body_do_not_exhaust_the_memory() {
+    let mut program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
+    let chunk = [b"fde8\r\n".as_slice(), &vec![b'x'; LARGE_BODY_BYTES]].concat();
+    let clients = program.flood(FLOODING_CLIENTS, |number| {
+        let head = post_head(number, 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        [head.as_bytes(), &chunk].concat()
+    });
+    for mut client in clients {
+        assert!(client.answer().is_none_or(|answer| matches!(answer.status(), 408 | 503)));
+    }
+    program.assert_within_limit();
+}
+
+/// Guards against the same with heads: peers on nearly all descriptors stop in the middle of a large one.
+#[test]
+fn clients_that_stop_within_a_head_do_not_exhaust_the_memory() {
+    let mut program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
+    let head = format!("GET /read HTTP/1.1\r\nHost: a\r\nX-Fill: {}", "x".repeat(15_000));
+    let clients = program.flood(FLOODING_PEERS, |_| head.clone().into_bytes());
+    for mut client in clients {
+        assert!(client.answer().is_none_or(|answer| (400..600).contains(&answer.status())));
+    }
+    program.assert_within_limit();
+}
+
+/// Guards against large requests that are complete but wait for their answers: those for which there is no
+/// memory are refused, and the others are answered.
+#[test]
+fn large_requests_in_progress_do_not_exhaust_the_memory() {
+    let upstream =
+        Upstream::start(
+            |_, message| {
+                if message.body.len() < LARGE_BODY_BYTES { ok("served") } else { Reply::Silence }
+            },
+        );
+    let mut program = LimitedProgram::start(upstream);
+    let body = vec![b'x'; LARGE_BODY_BYTES];
+    let clients = program
+        .flood(FLOODING_CLIENTS, |number| [post_head(number, LARGE_BODY_BYTES).as_bytes(), &body].concat());
+    program.upstream.wait_requests(1);
+    for mut client in clients {
+        let answer = client.answer().expect("an answer to a complete request");
+        assert!(matches!(answer.status(), 502 | 503), "{answer:?}");
+    }
+    program.assert_within_limit();
+}
+
+/// Guards against answers whose end does not come: there is no memory for all of them, and each client still
+/// gets its final answer.
+#[test]
+fn large_answers_that_never_end_do_not_exhaust_the_memory() {
+    let upstream = Upstream::start(|_, message| {
+        if message.line.starts_with("POST") {
+            return ok("served");
+        }
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE_BODY_BYTES + 500);
+        Reply::Bytes([head.as_bytes(), &vec![b'y'; LARGE_BODY_BYTES]].concat())
+    });
+    let mut program = LimitedProgram::start(upstream);
+    let clients = program.flood(FLOODING_CLIENTS, |number| {
+        format!(
+            "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: f-{number}\r\nX-Tenant: acme\r\nX-Deadline: 3\r\n\r\n"
+        )
+        .into_bytes()
+    });
+    for mut client in clients {
+        let answer = client.answer().expect("an answer to a complete request");
+        assert!(matches!(answer.status(), 502 | 503), "{answer:?}");
+    }
+    program.assert_within_limit();
+}
