Free the buffers of requests in progress and of connections that only wait for their close

Cause: the header values and the path that a request forwards are slices of hyper's read buffer, so that each request in progress kept 8 to 16 KiB alive for some 100 bytes, and hyper had to allocate a second buffer to go on reading. serve_client kept hyper's connection with its buffers for up to 1 s while it waited for the client's close. Change: what is forwarded is copied; hyper's connection ends before the wait. The tests in memory.rs now also end their program when an assertion fails: a failed one kept its output open and the caller waiting.

--- a/proxy/src/arrival.rs
+++ b/proxy/src/arrival.rs
@@ -184,6 +184,12 @@
         Ok(())
     }
 
+    /// The number of bytes that are reserved for buffers.
+    #[must_use]
+    pub fn buffer_reservation(&self) -> usize {
+        self.buffers.borrow().as_ref().map_or(0, Reservation::bytes)
+    }
+
     /// Gives back what is reserved for buffers beyond this size.
     pub fn shrink_buffers(&self, bytes: usize) {
         if let Some(reservation) = &mut *self.buffers.borrow_mut() {
@@ -248,7 +254,7 @@
         let evictable_bytes = match &*self.body.borrow() {
             BodyProgress::Partial(buffer) => buffer.reserved_bytes(),
             _ if self.answering.get() || self.closing.get() => 0,
-            _ => self.buffers.borrow().as_ref().map_or(0, Reservation::bytes),
+            _ => self.buffer_reservation(),
         };
         let age = now.saturating_duration_since(self.began_at.get());
         (evictable_bytes > 0 && age >= min_age).then(|| evictable_bytes as u128 * age.as_millis())
@@ -261,7 +267,7 @@
             Evicted::Body
         } else {
             self.closing.set(true);
-            let reserved_bytes = self.buffers.borrow().as_ref().map_or(0, Reservation::bytes);
+            let reserved_bytes = self.buffer_reservation();
             Evicted::Connection { reserved_bytes }
         };
         self.evicted.notify_waiters();
--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -124,6 +124,14 @@
         self.arrival.shrink_buffers(self.buffer_bytes(bytes.len(), self.read_ahead.borrow().len()));
     }
 
+    /// Discards what has been received and gives its memory back, once hyper reads no more.
+    pub fn clear(&self) {
+        self.received.take();
+        self.read_ahead.take();
+        self.pending_since.set(None);
+        self.arrival.shrink_buffers(0);
+    }
+
     /// The memory to be reserved for buffers that hold these numbers of bytes.
     fn buffer_bytes(&self, received_bytes: usize, read_ahead_bytes: usize) -> usize {
         let parser_bytes = if self.parser_has_grown.get() { PARSER_GROWTH_BYTES } else { 0 };
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -165,8 +165,16 @@
     // disconnect.
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
+    serve_requests(clients, &stream, connection).await;
+    // The buffers for requests and answers are free by now, and only the socket is left.
+    connection.input.clear();
+    linger(&stream, connection).await;
+}
+
+/// Serves the requests on a client connection until no more are to be answered.
+async fn serve_requests(clients: &Rc<Clients>, stream: &Rc<TcpStream>, connection: &Rc<ClientConnection>) {
     let service = service_fn(|request| {
-        let (driver, stream) = (&clients.driver, Rc::clone(&stream));
+        let driver = &clients.driver;
         // The body deadline counts from the request's first byte, or from when the connection was accepted.
         let began_at = connection
             .input
@@ -183,7 +191,7 @@
                 clients.evict_one();
             }
             let mut response =
-                respond(clients, request, framing, began_at + BODY_TIMEOUT, &connection.input, &stream).await;
+                respond(clients, request, framing, began_at + BODY_TIMEOUT, &connection.input, stream).await;
             connection.input.arrival().end_request();
             connection.busy.set(false);
             connection.last_activity.set(Instant::now());
@@ -197,7 +205,7 @@
     // The head timeout is enforced by `wait_until_expired`, because it depends on what the connection did
     // before.
     server.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(MAX_HEAD_BYTES);
-    let inspected_stream = InspectedStream::new(Rc::clone(&stream), Rc::clone(&connection.input));
+    let inspected_stream = InspectedStream::new(Rc::clone(stream), Rc::clone(&connection.input));
     let mut http_connection = pin!(server.serve_connection(TokioIo::new(inspected_stream), service));
     let mut phases = clients.phases.clone();
     let close_reason = async {
@@ -217,7 +225,7 @@
         biased;
         _ = http_connection.as_mut() => {
             clients.driver.metrics().connection_closed(CloseReason::Served);
-            return linger(&stream, connection).await;
+            return;
         }
         reason = close_reason => reason,
         () = wait_until_expired(connection) => CloseReason::Idle,
@@ -227,7 +235,7 @@
     // A request that is arriving is read first, even if the runtime has not been notified of it yet: its
     // last byte may be on its way, and the request would be lost.
     let closing_since = Instant::now();
-    let has_pending_input = || connection.input.pending_since().is_some() || has_unread_bytes(&stream);
+    let has_pending_input = || connection.input.pending_since().is_some() || has_unread_bytes(stream);
     while has_pending_input() {
         let began_at = connection.input.pending_since();
         let mut input_progress = poll_fn(|context| match http_connection.as_mut().poll(context) {
@@ -239,7 +247,7 @@
         });
         tokio::select! {
             biased;
-            ended = &mut input_progress => if ended { return linger(&stream, connection).await },
+            ended = &mut input_progress => if ended { return },
             () = sleep_until(began_at.unwrap_or(closing_since) + ARRIVAL_GRACE) => break,
         }
     }
@@ -250,15 +258,14 @@
     if !connection.used.get() {
         tokio::select! {
             biased;
-            _ = http_connection.as_mut() => return linger(&stream, connection).await,
+            _ = http_connection.as_mut() => return,
             () = sleep_until(connection.last_activity.get() + ARRIVAL_GRACE) => {}
         }
         if !connection.used.get() {
-            return linger(&stream, connection).await;
+            return;
         }
     }
     let _ = http_connection.await;
-    linger(&stream, connection).await;
 }
 
 /// Whether the system holds received bytes that have not been read.
--- a/proxy/src/server/request.rs
+++ b/proxy/src/server/request.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode, Uri};
 use stilelead_decision::interface::{ClassId, Idempotency, TenantId};
 use thiserror::Error;
@@ -91,7 +92,13 @@
 
 /// The value of a header, unless it is absent or empty.
 fn non_empty_header(headers: &HeaderMap, name: &str) -> Option<HeaderValue> {
-    headers.get(name).filter(|value| !value.is_empty()).cloned()
+    headers.get(name).filter(|value| !value.is_empty()).map(detached_copy)
+}
+
+/// A copy of a header value with memory of its own: the value as received keeps the connection's whole read
+/// buffer alive.
+fn detached_copy(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
 }
 
 /// Parses a time in seconds, as clients write it.
@@ -172,8 +179,8 @@
         deadline: now + classification.time_limit.saturating_sub(DEADLINE_MARGIN),
         forwarded: Rc::new(ForwardedRequest {
             method: head.method,
-            host: head.headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("upstream")),
-            uri: path_only(head.uri),
+            host: head.headers.get(HOST).map_or(HeaderValue::from_static("upstream"), detached_copy),
+            uri: detached_path(&head.uri),
             request_id,
             idempotency_key: non_empty_header(&head.headers, IDEMPOTENCY_KEY),
             body,
@@ -204,12 +211,11 @@
     }
 }
 
-/// Only path and query are forwarded, also of a request whose URI names the host.
-fn path_only(uri: Uri) -> Uri {
-    if uri.scheme().is_none() {
-        return uri;
-    }
-    uri.into_parts().path_and_query.map(Uri::from).unwrap_or_default()
+/// Path and query of a URI, with memory of their own: only these are forwarded, also of a request whose URI
+/// names the host.
+fn detached_path(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    path.parse().unwrap_or_else(|_| uri.clone())
 }
 
 /// The resource that a request is about, from the query parameter `k` (hexadecimal).
@@ -217,3 +223,6 @@
     let value = query?.split('&').find_map(|pair| pair.strip_prefix("k="))?;
     u64::from_str_radix(value, 16).ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/proxy/src/server/tests.rs
+++ b/proxy/src/server/tests.rs
@@ -102,3 +102,24 @@
         }
     });
 }
+
+/// Guards the memory of connections that wait for their client to close: it is given back before the wait.
+#[test]
+fn a_connection_that_only_waits_for_its_client_holds_no_buffers() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+    LocalSet::new().block_on(&runtime, async {
+        let (phase, connection, mut client) = connect_client().await;
+        let reserved_bytes = || connection.input.arrival().buffer_reservation();
+        client.write_all(b"GET /_health HTTP/1.1\r\nX-Fill: ").await.expect("open");
+        client.write_all(&[b'x'; 8000]).await.expect("open");
+        while reserved_bytes() == 0 {
+            yield_now().await;
+        }
+        phase.send(Phase::Closing).expect("the phase is watched");
+        while !connection.finished.get() {
+            yield_now().await;
+        }
+        assert!(Rc::strong_count(&connection) > 1, "the connection does not wait for its client");
+        assert_eq!(reserved_bytes(), 0);
+    });
+}
--- a/proxy/tests/memory.rs
+++ b/proxy/tests/memory.rs
@@ -56,15 +56,21 @@
     }
 
     /// Asserts that an ordinary request is served, and that the program was never over its memory limit.
-    fn assert_within_limit(&mut self) {
+    fn assert_within_limit(&self) {
         assert_eq!(Client::connect(self.address).ask("order", "ordinary").status(), 200);
         let peak = peak_kib(&self.child);
-        self.child.kill().expect("the program runs");
-        self.child.wait().expect("the program ends");
         assert!(peak * 1024 < MEMORY_MB * 1_000_000, "{peak} KiB");
     }
 }
 
+impl Drop for LimitedProgram {
+    /// Ends the program also when an assertion has failed.
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// Sends bytes that the balancer may have stopped reading; nothing waits for it.
 fn write_some(client: &Client, bytes: &[u8]) {
     use std::io::Write;
@@ -93,7 +99,7 @@
 /// stay: each gets an error or a close, and ordinary clients are served meanwhile.
 #[test]
 fn clients_that_stop_within_a_body_do_not_exhaust_the_memory() {
-    let mut program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
+    let program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
     let body = vec![b'x'; LARGE_BODY_BYTES];
     let clients = program.flood(FLOODING_CLIENTS, |number| {
         [post_head(number, LARGE_BODY_BYTES + 500).as_bytes(), &body].concat()
@@ -112,7 +118,7 @@
 /// Guards against the same with bodies whose length is not stated.
 #[test]
 fn clients_that_stop_within_a_chunked_body_do_not_exhaust_the_memory() {
-    let mut program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
+    let program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
     let chunk = [b"fde8\r\n".as_slice(), &vec![b'x'; LARGE_BODY_BYTES]].concat();
     let clients = program.flood(FLOODING_CLIENTS, |number| {
         let head = post_head(number, 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
@@ -127,7 +133,7 @@
 /// Guards against the same with heads: peers on nearly all descriptors stop in the middle of a large one.
 #[test]
 fn clients_that_stop_within_a_head_do_not_exhaust_the_memory() {
-    let mut program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
+    let program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
     let head = format!("GET /read HTTP/1.1\r\nHost: a\r\nX-Fill: {}", "x".repeat(15_000));
     let clients = program.flood(FLOODING_PEERS, |_| head.clone().into_bytes());
     for mut client in clients {
@@ -146,7 +152,7 @@
                 if message.body.len() < LARGE_BODY_BYTES { ok("served") } else { Reply::Silence }
             },
         );
-    let mut program = LimitedProgram::start(upstream);
+    let program = LimitedProgram::start(upstream);
     let body = vec![b'x'; LARGE_BODY_BYTES];
     let clients = program
         .flood(FLOODING_CLIENTS, |number| [post_head(number, LARGE_BODY_BYTES).as_bytes(), &body].concat());
@@ -169,7 +175,7 @@
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LARGE_BODY_BYTES + 500);
         Reply::Bytes([head.as_bytes(), &vec![b'y'; LARGE_BODY_BYTES]].concat())
     });
-    let mut program = LimitedProgram::start(upstream);
+    let program = LimitedProgram::start(upstream);
     let clients = program.flood(FLOODING_CLIENTS, |number| {
         format!(
             "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: f-{number}\r\nX-Tenant: acme\r\nX-Deadline: 3\r\n\r\n"
