Disconnect clients that do not take their answers

Cause: after its last answer an idle connection is closed by waiting for hyper to write what is left, without a limit of time (server.rs, the last await of serve_client). A client that never reads held its connection, its descriptor and its undelivered answer until it left: the share of large answers could be filled for good. Change: the socket records since when it has accepted nothing; 1 s after that, but not before half a second past the client's own deadline, within which a late answer is not lost, the connection ends, also while the program drains. Counted as client_connections_closed{reason="Stalled"}.

--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -283,19 +283,45 @@
     None
 }
 
-/// A client's socket that records all bytes read from it.
+/// Whether a client takes what is written to it.
+#[derive(Debug, Default)]
+pub struct OutputProgress {
+    /// Since when the socket has accepted no bytes although some are to be written.
+    blocked_since: Cell<Option<Instant>>,
+}
+
+impl OutputProgress {
+    /// Since when the socket has accepted no bytes although some are to be written.
+    #[must_use]
+    pub fn blocked_since(&self) -> Option<Instant> {
+        self.blocked_since.get()
+    }
+
+    /// Records the result of a write.
+    fn record(&self, result: &Poll<io::Result<usize>>) {
+        if result.is_ready() {
+            self.blocked_since.set(None);
+        } else if self.blocked_since.get().is_none() {
+            self.blocked_since.set(Some(Instant::now()));
+        }
+    }
+}
+
+/// A client's socket that records all bytes read from it, and whether bytes can be written to it.
 pub struct InspectedStream {
     /// The client's socket.
     stream: Rc<TcpStream>,
     /// Records the bytes that are read.
     input: Rc<PendingInput>,
+    /// Records whether bytes can be written.
+    output: Rc<OutputProgress>,
 }
 
 impl InspectedStream {
-    /// Records in `input` what is read from the socket.
+    /// Records in `input` what is read from the socket, and in `output` whether it can be written.
     #[must_use]
-    pub fn new(stream: Rc<TcpStream>, input: Rc<PendingInput>) -> Self {
-        Self { stream, input }
+    pub fn new(stream: Rc<TcpStream>, input: Rc<PendingInput>, output: Rc<OutputProgress>) -> Self {
+        Self { stream, input, output }
     }
 
     /// Calls `write` once the socket is writable, until it does not block.
@@ -303,6 +329,17 @@
         &self,
         context: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let result = self.poll_write_socket(context, write);
+        self.output.record(&result);
+        result
+    }
+
+    /// Calls `write` once the socket is writable, until it does not block, and records nothing.
+    fn poll_write_socket(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(context))?;
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -30,7 +30,7 @@
 
 use crate::config::{Config, ConfigError};
 use crate::driver::{Answer, ClientRequest, Driver};
-use crate::framing::{AmbiguousLength, InspectedStream, MAX_HEAD_BYTES, PendingInput};
+use crate::framing::{AmbiguousLength, InspectedStream, MAX_HEAD_BYTES};
 use crate::memory::ReservedBytes;
 use crate::metrics::{self, CloseReason, UnservedCause};
 use crate::reload;
@@ -191,7 +191,7 @@
                 clients.evict_one();
             }
             let mut response =
-                respond(clients, request, framing, began_at + BODY_TIMEOUT, &connection.input, stream).await;
+                respond(clients, request, framing, began_at + BODY_TIMEOUT, connection, stream).await;
             connection.input.arrival().end_request();
             connection.busy.set(false);
             connection.last_activity.set(Instant::now());
@@ -205,7 +205,8 @@
     // The head timeout is enforced by `wait_until_expired`, because it depends on what the connection did
     // before.
     server.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(MAX_HEAD_BYTES);
-    let inspected_stream = InspectedStream::new(Rc::clone(stream), Rc::clone(&connection.input));
+    let (input, output) = (Rc::clone(&connection.input), Rc::clone(&connection.output));
+    let inspected_stream = InspectedStream::new(Rc::clone(stream), input, output);
     let mut http_connection = pin!(server.serve_connection(TokioIo::new(inspected_stream), service));
     let mut phases = clients.phases.clone();
     let close_reason = async {
@@ -228,10 +229,13 @@
             return;
         }
         reason = close_reason => reason,
-        () = wait_until_expired(connection) => CloseReason::Idle,
+        reason = wait_until_expired(connection) => reason,
     };
     clients.driver.metrics().connection_closed(reason);
     tracing::debug!(?reason, used = connection.used.get(), "closing client connection");
+    if reason == CloseReason::Stalled {
+        return;
+    }
     // A request that is arriving is read first, even if the runtime has not been notified of it yet: its
     // last byte may be on its way, and the request would be lost.
     let closing_since = Instant::now();
@@ -265,7 +269,10 @@
             return;
         }
     }
-    let _ = http_connection.await;
+    tokio::select! {
+        _ = http_connection => {}
+        () = wait_until_stalled(connection) => {}
+    }
 }
 
 /// Whether the system holds received bytes that have not been read.
@@ -302,16 +309,29 @@
     }
 }
 
-/// Completes when a connection has had no request, or an incomplete one, for too long.
-async fn wait_until_expired(connection: &ClientConnection) {
+/// Completes when a connection has had no request, or an incomplete one, for too long, or when its client
+/// does not take its answer; returns which.
+async fn wait_until_expired(connection: &ClientConnection) -> CloseReason {
     loop {
         let now = Instant::now();
-        // A request that is being answered has its own timeouts.
-        let deadline = connection.expires_at().unwrap_or(now + IDLE_TIMEOUT);
-        if deadline <= now {
-            return;
+        match connection.expires_at() {
+            Some((expires_at, reason)) if expires_at <= now => return reason,
+            Some((expires_at, _)) => sleep_until(expires_at).await,
+            // A request that is being answered has its own timeouts.
+            None => sleep_until(now + IDLE_TIMEOUT).await,
+        }
+    }
+}
+
+/// Completes when the client of a connection does not take its answer.
+async fn wait_until_stalled(connection: &ClientConnection) {
+    loop {
+        let now = Instant::now();
+        match connection.stalls_at() {
+            Some(stalls_at) if stalls_at <= now => return,
+            Some(stalls_at) => sleep_until(stalls_at).await,
+            None => sleep_until(now + IDLE_TIMEOUT).await,
         }
-        sleep_until(deadline).await;
     }
 }
 
@@ -321,10 +341,11 @@
     request: Request<Incoming>,
     framing: Result<(), AmbiguousLength>,
     body_deadline: Instant,
-    input: &PendingInput,
+    connection: &ClientConnection,
     stream: &TcpStream,
 ) -> Response<Full<ReservedBytes>> {
     let driver = &clients.driver;
+    let input = &connection.input;
     if request.uri().path() == "/_health" {
         let status = if driver.can_serve() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return text_response(status, "");
@@ -339,6 +360,7 @@
     let answer = async {
         framing?;
         let request = read_request(driver, request, body_deadline, input.arrival()).await?;
+        connection.answer_due_at.set(request.deadline + DEADLINE_MARGIN);
         if input.is_followed_by_garbage() {
             return Err(BadRequest::TrailingGarbage);
         }
--- a/proxy/src/server/clients.rs
+++ b/proxy/src/server/clients.rs
@@ -11,7 +11,8 @@
 use tokio::time::Instant;
 
 use crate::driver::Driver;
-use crate::framing::PendingInput;
+use crate::framing::{OutputProgress, PendingInput};
+use crate::metrics::CloseReason;
 
 /// Client connections that are kept free while a drain still serves connections as before: clients open no
 /// new connections to a balancer that is shutting down, and may take it for gone if none is free for a
@@ -28,6 +29,10 @@
 /// Idle time after which a client connection is closed: clients that send one request and stay connected
 /// must not accumulate.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a client may take nothing of its answer before its connection is closed.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long after its time an answer may still be of use to a client.
+const LATE_ANSWER_GRACE: Duration = Duration::from_millis(500);
 /// Idle time after which a client connection may be closed when sockets run short; one that has been idle
 /// for less is closed only as a last resort.
 const MIN_IDLE_TO_EVICT: Duration = Duration::from_secs(2);
@@ -53,6 +58,10 @@
     pub(super) last_activity: Cell<Instant>,
     /// What has been received of the connection's next request.
     pub(super) input: Rc<PendingInput>,
+    /// Whether the client takes its answers.
+    pub(super) output: Rc<OutputProgress>,
+    /// How long the client waits for the answer to its latest request.
+    pub(super) answer_due_at: Cell<Instant>,
     /// Whether nothing more is sent on the connection; at most its last answer is still being delivered.
     pub(super) finished: Cell<bool>,
     /// Asks for the connection to be closed as soon as it is between requests.
@@ -60,16 +69,27 @@
 }
 
 impl ClientConnection {
-    /// When to close the connection unless a request arrives; `None` while one is being answered.
-    pub(super) fn expires_at(&self) -> Option<Instant> {
+    /// When to close the connection because the client does not take its answer; `None` if it does.
+    pub(super) fn stalls_at(&self) -> Option<Instant> {
+        let stalled_at = self.output.blocked_since()? + STALL_TIMEOUT;
+        Some(stalled_at.max(self.answer_due_at.get() + LATE_ANSWER_GRACE))
+    }
+
+    /// When and why to close the connection unless a request arrives, or its answer is taken; `None` while a
+    /// request is being answered.
+    pub(super) fn expires_at(&self) -> Option<(Instant, CloseReason)> {
+        if let Some(stalls_at) = self.stalls_at() {
+            return Some((stalls_at, CloseReason::Stalled));
+        }
         if self.busy.get() {
             return None;
         }
-        Some(match self.input.pending_since() {
+        let idle_until = match self.input.pending_since() {
             _ if !self.used.get() => self.last_activity.get() + HEAD_TIMEOUT,
             Some(began_at) => began_at.max(self.last_activity.get()) + HEAD_TIMEOUT,
             None => self.last_activity.get() + IDLE_TIMEOUT,
-        })
+        };
+        Some((idle_until, CloseReason::Idle))
     }
 
     /// Rank for eviction, lowest first: finished connections and those that were accepted but bring no
@@ -120,6 +140,8 @@
             used: Cell::new(false),
             last_activity: Cell::new(Instant::now()),
             input: Rc::new(PendingInput::new(self.driver.arrival_memory().register())),
+            output: Rc::default(),
+            answer_due_at: Cell::new(Instant::now()),
             finished: Cell::new(false),
             close_requested: Notify::new(),
         });
--- a/proxy/tests/memory.rs
+++ b/proxy/tests/memory.rs
@@ -188,3 +188,25 @@
     }
     program.assert_within_limit();
 }
+
+/// Guards memory and descriptors against clients that do not read their answers: each is disconnected some time after
+/// it should have had the last one, and other clients are served meanwhile.
+#[test]
+fn a_client_that_does_not_read_its_answers_is_disconnected() {
+    let large = "y".repeat(LARGE_BODY_BYTES);
+    let upstream = Upstream::start(move |_, _| ok(&large));
+    let program = LimitedProgram::start(upstream);
+    let request = "GET /read HTTP/1.1\r\nHost: a\r\nX-Tenant: acme\r\nX-Deadline: 0.5\r\n";
+    // More answers than the system's buffers hold.
+    let requests: String =
+        (0..150).map(|number| format!("{request}X-Request-Id: s-{number}\r\n\r\n")).collect();
+    let slow_reader = Client::connect(program.address);
+    write_some(&slow_reader, requests.as_bytes());
+    wait_for("the connection to be closed", || {
+        let mut client = Client::connect(program.address);
+        client.raw(b"GET /_metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        let metrics = String::from_utf8(client.answer().expect("an answer").body).expect("UTF-8");
+        metrics.contains("closed_total{reason=\"Stalled\"} 1").then_some(())
+    });
+    program.assert_within_limit();
+}
