Keep lists of upstreams within their share of limits.memory_mb

Cause: a message from discovery might have 8 MiB whatever the limit of memory, and was held up to four times over: the doubling buffer, the message cut out of it, a copy of each entry's text, the parsed entries. Nothing limited how many upstreams are listed or how long their names are, and a malformed entry was logged in full. Change: messages are parsed where they were received, and the buffer grows by what is needed; a message has at most half of the share for lists (2.6 MB at 32 MB), upstreams beyond the share (4,160 at 32 MB, 1.25 KB each) are skipped, which one line of the log says, and names have at most 255 bytes. Texts in the log are cut at 200 characters.

--- a/proxy/src/directory.rs
+++ b/proxy/src/directory.rs
@@ -7,7 +7,7 @@
 use stilelead_simulator::setup::Names;
 
 use crate::clock::Clock;
-use crate::discovery::{Endpoint, Update};
+use crate::discovery::{Endpoint, Update, shortened};
 
 /// The source of an update of the list of upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,13 +50,23 @@
     ids: FxHashMap<Box<str>, UpstreamId>,
     /// The latest entry of each listed upstream.
     entries: FxHashMap<UpstreamId, ListEntry>,
+    /// How many upstreams may be listed.
+    max_entries: usize,
 }
 
+/// The longest name of an upstream, in bytes: names are kept for as long as they are listed.
+const MAX_NAME_BYTES: usize = 255;
+
 impl Directory {
     /// An empty list; start times of upstreams are translated by `clock`.
     #[must_use]
     pub fn new(clock: Clock) -> Self {
-        Self { clock, ids: FxHashMap::default(), entries: FxHashMap::default() }
+        Self { clock, ids: FxHashMap::default(), entries: FxHashMap::default(), max_entries: usize::MAX }
+    }
+
+    /// Limits how many upstreams may be listed; further ones are skipped from the next update on.
+    pub fn set_max_entries(&mut self, max_entries: usize) {
+        self.max_entries = max_entries;
     }
 
     /// Whether any listed upstream accepts requests.
@@ -101,15 +111,33 @@
         let mut updated_ids = FxHashSet::default();
         let mut members = Vec::with_capacity(update.endpoints.len());
         let mut restarted = Vec::new();
+        let replaces_list = update.snapshot || source == UpdateSource::Configuration;
+        let mut skipped_count = 0;
         for endpoint in &update.endpoints {
+            let listed_count = if replaces_list { updated_ids.len() } else { self.entries.len() };
+            if listed_count >= self.max_entries && self.id_of(&endpoint.name).is_none() {
+                skipped_count += 1;
+                continue;
+            }
             match self.apply_entry(endpoint, names, &mut restarted) {
                 Some(member) => {
                     updated_ids.insert(member.id);
                     members.push(member);
                 }
-                None => tracing::warn!(?endpoint, "skipped a malformed entry of the list"),
+                None => {
+                    let (name, status) = (shortened(&endpoint.name), shortened(&endpoint.status));
+                    tracing::warn!(name, status, "skipped a malformed entry of the list");
+                }
             }
         }
+        if skipped_count > 0 {
+            let max = self.max_entries;
+            tracing::warn!(
+                skipped = skipped_count,
+                max,
+                "the list has more upstreams than there is memory for"
+            );
+        }
         let list = match source {
             UpdateSource::Configuration => DiscoveryUpdate::Stale(members),
             UpdateSource::Watch | UpdateSource::FormerWatch if update.snapshot => {
@@ -139,6 +167,9 @@
             "gone" => Phase::Gone,
             _ => return None,
         };
+        if endpoint.name.len() > MAX_NAME_BYTES {
+            return None;
+        }
         let id = self.find_or_assign_id(&endpoint.name);
         if phase == Phase::Gone {
             self.entries.remove(&id);
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -34,15 +34,22 @@
 /// Parses each entry of an update separately and skips malformed ones: one malformed entry must not cost the
 /// other entries, which may include a drain.
 fn deserialize_endpoints<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<Endpoint>, D::Error> {
-    let raw: Vec<Box<RawValue>> = Vec::deserialize(input)?;
+    let raw: Vec<&'de RawValue> = Vec::deserialize(input)?;
     let parse_entry = |raw: &RawValue| {
         serde_json::from_str(raw.get())
             .inspect_err(|error| {
-                tracing::warn!(%error, "skipped an entry of the list that cannot be parsed");
+                let error = shortened(&error.to_string());
+                tracing::warn!(error, "skipped an entry of the list that cannot be parsed");
             })
             .ok()
     };
-    Ok(raw.iter().filter_map(|raw| parse_entry(raw)).collect())
+    Ok(raw.into_iter().filter_map(parse_entry).collect())
+}
+
+/// The beginning of a text that discovery sent, for the log.
+#[must_use]
+pub fn shortened(text: &str) -> String {
+    text.chars().take(MAX_LOGGED_CHARS).collect()
 }
 
 /// An upstream as discovery lists it.
@@ -84,8 +91,12 @@
 /// for well over that is dead. A change in discovery counts as delivered at most 6 s after it was made; by
 /// then a new watch must have been requested and answered, which takes seconds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(3200);
-/// The largest message accepted, so that a faulty discovery cannot fill the memory.
+/// The largest message accepted at any limit of memory.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// By how much the buffer for messages grows, and what is kept of it between messages.
+const MESSAGE_BUFFER_BYTES: usize = 64 * 1024;
+/// How much of a text from discovery is logged, in characters.
+const MAX_LOGGED_CHARS: usize = 200;
 
 /// Why a watch on discovery ended.
 #[derive(Debug, Error)]
@@ -112,8 +123,11 @@
     #[error("discovery ended the watch")]
     Ended,
     /// A message is longer than the limit.
-    #[error("a message is longer than {MAX_MESSAGE_BYTES} bytes")]
-    MessageTooLong,
+    #[error("a message is longer than {max_bytes} bytes")]
+    MessageTooLong {
+        /// The largest message accepted, in bytes.
+        max_bytes: usize,
+    },
     /// A message is not a valid update.
     #[error("a message is malformed: {0}")]
     Json(#[from] serde_json::Error),
@@ -142,7 +156,7 @@
             Self::Silent { .. } => WatchEnd::Silent,
             Self::Status(_) => WatchEnd::Status,
             Self::Http(_) | Self::Ended => WatchEnd::Broken,
-            Self::MessageTooLong | Self::Json(_) => WatchEnd::Malformed,
+            Self::MessageTooLong { .. } | Self::Json(_) => WatchEnd::Malformed,
         }
     }
 }
@@ -168,6 +182,8 @@
     fn updated(&self, watch: WatchId, update: Update);
     /// The watch has ended.
     fn ended(&self, watch: WatchId, reason: &WatchError);
+    /// The largest message that there is memory for, in bytes.
+    fn max_message_bytes(&self) -> usize;
     /// Counts a descriptor for the watch, even over the limit: without a watch drains would be missed.
     fn reserve_descriptor(&self) -> Permit;
 }
@@ -211,10 +227,12 @@
             .await
             .map_err(|_| WatchError::Silent { since_last_message: last_message_at.map(|at| at.elapsed()) })?;
         let Ok(data) = frame.ok_or(WatchError::Ended)??.into_data() else { continue };
-        splitter.buffer.extend_from_slice(&data);
+        splitter.push(&data);
         let mut received_message = false;
-        while let Some(message) = splitter.next_message() {
-            events.updated(id, serde_json::from_slice(&message)?);
+        while let Some(message_bytes) = splitter.scan_message() {
+            let update = serde_json::from_slice(splitter.message(message_bytes))?;
+            splitter.discard_message(message_bytes);
+            events.updated(id, update);
             received_message = true;
         }
         // An empty line is a heartbeat and counts as a message, unless it is inside an incomplete one.
@@ -228,8 +246,9 @@
             last_message_at = Some(now);
             deadline = now + SILENCE_TIMEOUT;
         }
-        if splitter.buffer.len() > MAX_MESSAGE_BYTES {
-            return Err(WatchError::MessageTooLong);
+        let max_bytes = events.max_message_bytes().min(MAX_MESSAGE_BYTES);
+        if splitter.buffer.len() > max_bytes {
+            return Err(WatchError::MessageTooLong { max_bytes });
         }
     }
 }
@@ -252,9 +271,28 @@
 }
 
 impl MessageSplitter {
-    /// The next complete message. Outside brackets and strings, any byte that is not white space is returned
-    /// as a message of its own, which then fails to parse.
-    fn next_message(&mut self) -> Option<Vec<u8>> {
+    /// Adds received bytes.
+    fn push(&mut self, bytes: &[u8]) {
+        if self.buffer.capacity() - self.buffer.len() < bytes.len() {
+            self.buffer.reserve_exact(bytes.len().max(MESSAGE_BUFFER_BYTES));
+        }
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The message of this length at the beginning of the buffer.
+    fn message(&self, bytes: usize) -> &[u8] {
+        &self.buffer[..bytes]
+    }
+
+    /// Removes the message of this length from the beginning of the buffer.
+    fn discard_message(&mut self, bytes: usize) {
+        self.buffer.drain(..bytes);
+        self.buffer.shrink_to(MESSAGE_BUFFER_BYTES);
+    }
+
+    /// The length of the next complete message, which is then at the beginning of the buffer. Outside brackets
+    /// and strings, any byte that is not white space counts as a message of its own, which then fails to parse.
+    fn scan_message(&mut self) -> Option<usize> {
         while let Some(&byte) = self.buffer.get(self.scanned_len) {
             self.scanned_len += 1;
             match byte {
@@ -267,7 +305,7 @@
                 _ => {}
             }
             if self.bracket_depth == 0 && !self.in_string && !byte.is_ascii_whitespace() {
-                return Some(self.buffer.drain(..std::mem::take(&mut self.scanned_len)).collect());
+                return Some(std::mem::take(&mut self.scanned_len));
             }
         }
         if self.bracket_depth == 0 && !self.in_string {
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -491,7 +491,9 @@
         let list = {
             let mut core = self.core.borrow_mut();
             let Core { directory, idle_connections, .. } = &mut *core;
-            let applied = directory.apply(update, source, self.active_config.borrow().names());
+            let active_config = self.active_config();
+            directory.set_max_entries(active_config.memory_plan().max_list_entries());
+            let applied = directory.apply(update, source, active_config.names());
             for upstream in applied.restarted {
                 idle_connections.remove(&upstream);
             }
@@ -688,6 +690,10 @@
         }));
     }
 
+    fn max_message_bytes(&self) -> usize {
+        self.active_config.borrow().memory_plan().max_message_bytes()
+    }
+
     fn reserve_descriptor(&self) -> Permit {
         self.unconditional_permit()
     }
--- a/proxy/src/memory.rs
+++ b/proxy/src/memory.rs
@@ -16,16 +16,21 @@
 const PROGRAM_BYTES: usize = 6_000_000;
 /// Memory of one open connection: its task, its buffers, and messages of at most
 /// [`UNRESERVED_MESSAGE_BYTES`].
-const CONNECTION_BYTES: usize = 24 * 1024;
+const CONNECTION_BYTES: usize = 20 * 1024;
 /// Messages up to this size belong to the memory of their connection; larger ones need a reservation.
 /// Ordinary requests and answers are smaller, so that a flood of large ones does not affect them.
 pub const UNRESERVED_MESSAGE_BYTES: usize = 2 * 1024;
 /// Share of the memory beyond [`PROGRAM_BYTES`] that open connections may use.
-const CONNECTIONS_SHARE: f64 = 0.6;
+const CONNECTIONS_SHARE: f64 = 0.5;
 /// Share of the memory beyond [`PROGRAM_BYTES`] that large heads and bodies of requests may use.
 const REQUESTS_SHARE: f64 = 0.15;
 /// Share of the memory beyond [`PROGRAM_BYTES`] that large answers may use.
 const ANSWERS_SHARE: f64 = 0.15;
+/// Memory for one listed upstream: its entry and the state of the decisions, and its part of an update while
+/// that is read.
+const LIST_ENTRY_BYTES: usize = 1250;
+/// The part of the memory for lists that one message of a watch may have; the rest is for what is read from it.
+const MESSAGE_DIVISOR: usize = 2;
 
 /// How the memory limit of the process is divided among the uses that peers control.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +46,18 @@
 }
 
 impl MemoryPlan {
+    /// How many upstreams may be listed.
+    #[must_use]
+    pub fn max_list_entries(&self) -> usize {
+        self.list_bytes / LIST_ENTRY_BYTES
+    }
+
+    /// The largest message of a watch, in bytes.
+    #[must_use]
+    pub fn max_message_bytes(&self) -> usize {
+        self.list_bytes / MESSAGE_DIVISOR
+    }
+
     /// Divides a limit, which is given in bytes.
     #[must_use]
     pub fn for_limit(limit_bytes: usize) -> Self {
--- a/proxy/src/memory/tests.rs
+++ b/proxy/src/memory/tests.rs
@@ -15,6 +15,7 @@
             + plan.answer_bytes
             + plan.list_bytes;
         assert!(PROGRAM_BYTES + peer_bytes <= limit_bytes, "{megabytes} MB: {plan:?}");
+        assert!(megabytes < 32 || plan.max_list_entries() > 3200, "{megabytes} MB: {plan:?}");
         assert!(plan.request_bytes.min(plan.answer_bytes) > 16 * 64 * 1024, "{megabytes} MB: {plan:?}");
     }
 }
--- a/proxy/tests/memory.rs
+++ b/proxy/tests/memory.rs
@@ -31,7 +31,7 @@
     child: Child,
     address: SocketAddr,
     upstream: Upstream,
-    _discovery: Discovery,
+    discovery: Discovery,
     _log: std::io::BufReader<std::process::ChildStderr>,
 }
 
@@ -41,7 +41,7 @@
         let known = [endpoint("s-1", upstream.address, 0, "ready")];
         let mut child = program(&limited_configuration(discovery.address, &known, MEMORY_MB));
         let (address, _log) = address(&mut child);
-        Self { child, address, upstream, _discovery: discovery, _log }
+        Self { child, address, upstream, discovery, _log }
     }
 
     /// Connects this many clients, each of which sends its bytes and then waits.
@@ -210,3 +210,30 @@
     });
     program.assert_within_limit();
 }
+
+/// Guards against lists: messages from discovery that are longer than there is memory for end their watch, and the
+/// largest list of upstreams that there may be has room, also in its longest form and next to the list that it replaces.
+#[test]
+fn lists_do_not_exhaust_the_memory() {
+    let program = LimitedProgram::start(Upstream::start(|_, _| ok("served")));
+    let nowhere = dead_address();
+    let list = |generation: usize, padding: &str| {
+        let entries: Vec<Value> = (0..3200)
+            .map(|number| {
+                let name = format!("s-{generation}-{number}{padding}");
+                let address = if number == 0 { program.upstream.address } else { nowhere };
+                endpoint(&name, address, 0, if number == 0 { "ready" } else { "draining" })
+            })
+            .collect();
+        let list = serde_json::json!({"index": 8, "snapshot": true, "endpoints": entries});
+        format!("{}\n", serde_json::to_string_pretty(&list).expect("JSON"))
+    };
+    let (_, watch) = program.discovery.watch();
+    watch.bytes(list(0, "").as_bytes());
+    watch.bytes(list(1, "").as_bytes());
+    watch.bytes(list(2, &"n".repeat(1500)).as_bytes());
+    let (line, watch) = program.discovery.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=8 HTTP/1.1");
+    watch.bytes(list(3, "").as_bytes());
+    program.assert_within_limit();
+}
--- a/scale/src/hollow/host/lists.rs
+++ b/scale/src/hollow/host/lists.rs
@@ -34,6 +34,10 @@
         }
     }
 
+    fn max_message_bytes(&self) -> usize {
+        usize::MAX
+    }
+
     fn reserve_descriptor(&self) -> Permit {
         Permit::acquire(&self.watch_descriptors)
     }
