Accept connections only while there is memory for them

Cause: the limit of connections by memory was looked at after a connection had been accepted, and one chosen for eviction still has 0.1 s for a request that may be on its way: a burst of connections was held in full meanwhile. Evidence: at 16 MB, which has room for 250 connections, 900 peers that stop within a head of 1.9 KB were all held, and the process reached 24,184 KiB. Change: while the limit is reached nothing is accepted, and one connection is evicted every 5 ms; the end of the accept loop and a reload to another limit are heeded meanwhile.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -135,6 +135,8 @@
     active_config: RefCell<Rc<ActiveConfig>>,
     /// Notified when another configuration has come into force.
     reconfigured: Notify,
+    /// Notified when the limit of memory may have changed.
+    memory_limit_changed: Notify,
     /// Translates the runtime's time to that of the decisions.
     clock: Clock,
     /// The operator's metrics.
@@ -176,6 +178,7 @@
             core: RefCell::new(core),
             active_config: RefCell::new(Rc::new(active_config)),
             reconfigured: Notify::new(),
+            memory_limit_changed: Notify::new(),
             clock,
             metrics: Metrics::new(),
             open_sockets: Rc::new(Cell::new(0)),
@@ -255,6 +258,7 @@
         self.request_memory.set_limit(memory_plan.request_bytes);
         self.answer_memory.set_limit(memory_plan.answer_bytes);
         self.arrival_memory.evict_excess();
+        self.memory_limit_changed.notify_one();
         if settings != old.settings() {
             self.handle(Event::SettingsChanged(Box::new(settings)));
         }
@@ -291,6 +295,17 @@
         self.open_sockets.get() > self.max_connections()
     }
 
+    /// Whether there is memory for another connection.
+    #[must_use]
+    pub fn has_memory_for_connection(&self) -> bool {
+        self.open_sockets.get() < self.active_config.borrow().memory_plan().max_connections
+    }
+
+    /// Waits until the limit of memory may have changed. Only one task may wait.
+    pub async fn memory_limit_changed(&self) {
+        self.memory_limit_changed.notified().await;
+    }
+
     /// How many connections the limits of descriptors and of memory allow.
     fn max_connections(&self) -> usize {
         let active_config = self.active_config.borrow();
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -137,9 +137,10 @@
     let mut until = pin!(until);
     let mut last_logged_at: Option<Instant> = None;
     loop {
+        let has_memory = clients.driver.has_memory_for_connection();
         tokio::select! {
             biased;
-            accepted = listener.accept() => match accepted {
+            accepted = listener.accept(), if has_memory => match accepted {
                 Ok((stream, _)) => clients.accept(stream),
                 Err(error) => {
                     clients.driver.metrics().accept_failed();
@@ -155,6 +156,9 @@
                 }
             },
             () = until.as_mut() => return,
+            () = clients.driver.memory_limit_changed(), if has_memory => {}
+            // New connections wait in the system's queue until one is closed.
+            () = sleep(ACCEPT_RETRY_DELAY), if !has_memory => clients.evict_one(),
         }
     }
 }
--- a/proxy/tests/memory.rs
+++ b/proxy/tests/memory.rs
@@ -26,9 +26,10 @@
     configuration.to_string()
 }
 
-/// The program at the smallest memory limit before one upstream.
+/// The program at a memory limit before one upstream.
 struct LimitedProgram {
     child: Child,
+    memory_mb: u64,
     address: SocketAddr,
     upstream: Upstream,
     discovery: Discovery,
@@ -37,11 +38,15 @@
 
 impl LimitedProgram {
     fn start(upstream: Upstream) -> Self {
+        Self::with_memory(MEMORY_MB, upstream)
+    }
+
+    fn with_memory(memory_mb: u64, upstream: Upstream) -> Self {
         let discovery = Discovery::start();
         let known = [endpoint("s-1", upstream.address, 0, "ready")];
-        let mut child = program(&limited_configuration(discovery.address, &known, MEMORY_MB));
+        let mut child = program(&limited_configuration(discovery.address, &known, memory_mb));
         let (address, _log) = address(&mut child);
-        Self { child, address, upstream, discovery, _log }
+        Self { child, memory_mb, address, upstream, discovery, _log }
     }
 
     /// Connects this many clients, each of which sends its bytes and then waits.
@@ -59,7 +64,7 @@
     fn assert_within_limit(&self) {
         assert_eq!(Client::connect(self.address).ask("order", "ordinary").status(), 200);
         let peak = peak_kib(&self.child);
-        assert!(peak * 1024 < MEMORY_MB * 1_000_000, "{peak} KiB");
+        assert!(peak * 1024 < self.memory_mb * 1_000_000, "{peak} KiB");
     }
 }
 
@@ -237,3 +242,54 @@
     watch.bytes(list(3, "").as_bytes());
     program.assert_within_limit();
 }
+
+/// Guards against connections alone: peers that stop within a small head, on nearly all descriptors, are disconnected
+/// when there is no memory for all of them.
+#[test]
+fn connections_without_a_request_do_not_exhaust_the_memory() {
+    let program = LimitedProgram::with_memory(16, Upstream::start(|_, _| ok("served")));
+    let head = format!("GET /read HTTP/1.1\r\nHost: a\r\nX-Fill: {}", "x".repeat(1900));
+    let peers = program.flood(FLOODING_PEERS, |_| head.clone().into_bytes());
+    assert_eq!(Client::connect(program.address).ask("order", "ordinary").status(), 200);
+    for mut peer in peers {
+        assert!(peer.answer().is_none());
+    }
+    program.assert_within_limit();
+}
+
+/// The value of a metric.
+fn metric(address: SocketAddr, name: &str) -> usize {
+    let mut client = Client::connect(address);
+    client.raw(b"GET /_metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+    let text = String::from_utf8(client.answer().expect("an answer").body).expect("UTF-8");
+    let line = text.lines().find(|line| line.starts_with(&format!("{name} "))).expect("the metric");
+    line.rsplit(' ').next().and_then(|value| value.parse().ok()).expect("a number")
+}
+
+/// Guards a reload to a smaller limit: requests and connections that exceed it are given up at once.
+#[test]
+fn a_smaller_limit_takes_effect_at_a_reload() {
+    let discovery = Discovery::start();
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let balancer = Balancer::start(&limited_configuration(discovery.address, &known, 192));
+    let body = vec![b'x'; LARGE_BODY_BYTES];
+    let stopped: Vec<Client> = (0..FLOODING_CLIENTS)
+        .map(|number| {
+            let client = balancer.client();
+            write_some(&client, &[post_head(number, LARGE_BODY_BYTES + 500).as_bytes(), &body].concat());
+            client
+        })
+        .collect();
+    let reserved = || metric(balancer.address, "stilelead_request_memory_bytes");
+    wait_for("the bodies to arrive", || (reserved() > 20 * LARGE_BODY_BYTES * 10).then_some(()));
+    balancer.reload(&limited_configuration(discovery.address, &known, 16));
+    wait_for("the excess to be given back", || (reserved() <= 1_500_000).then_some(()));
+    wait_for("the excess connections to be closed", || {
+        (metric(balancer.address, "stilelead_descriptors") < 300).then_some(())
+    });
+    for mut client in stopped {
+        assert!(client.answer().is_none_or(|answer| matches!(answer.status(), 408 | 503)));
+    }
+    assert_eq!(balancer.client().ask("order", "ordinary").status(), 200);
+}
