Do not let answers double the read buffers, and leave room for gaps between buffers

Cause: hyper doubles the read buffer of a connection after a read that fills it, and two of them are alive while a large answer arrives, so that a connection to an upstream cost up to 40 KiB and kept 16 KiB while idle; and gaps that buffers of different sizes leave in the heap were in no share of the limit. Change: at most 4 KiB are read at a time; the shares are 0.45 for connections, 0.12 each for requests and answers, 0.16 for lists, and 0.15 of the memory beyond the program is given to nobody.

--- a/proxy/src/memory.rs
+++ b/proxy/src/memory.rs
@@ -11,8 +11,7 @@
 
 /// The number of bytes in a megabyte of `limits.memory_mb`.
 pub const BYTES_PER_MEGABYTE: usize = 1_000_000;
-/// Memory of the program without any peer: code and constants, the runtime, the settings, and what the
-/// allocator cannot give out again.
+/// Memory of the program without any peer: code and constants, the runtime, the settings.
 const PROGRAM_BYTES: usize = 6_000_000;
 /// Memory of one open connection: its task, its buffers, and messages of at most
 /// [`UNRESERVED_MESSAGE_BYTES`].
@@ -21,11 +20,14 @@
 /// Ordinary requests and answers are smaller, so that a flood of large ones does not affect them.
 pub const UNRESERVED_MESSAGE_BYTES: usize = 2 * 1024;
 /// Share of the memory beyond [`PROGRAM_BYTES`] that open connections may use.
-const CONNECTIONS_SHARE: f64 = 0.5;
+const CONNECTIONS_SHARE: f64 = 0.45;
 /// Share of the memory beyond [`PROGRAM_BYTES`] that large heads and bodies of requests may use.
-const REQUESTS_SHARE: f64 = 0.15;
+const REQUESTS_SHARE: f64 = 0.12;
 /// Share of the memory beyond [`PROGRAM_BYTES`] that large answers may use.
-const ANSWERS_SHARE: f64 = 0.15;
+const ANSWERS_SHARE: f64 = 0.12;
+/// Share of the memory beyond [`PROGRAM_BYTES`] that the list of upstreams and its updates may use. The rest,
+/// 0.15, is for gaps between buffers of different sizes, which the allocator cannot give out again.
+const LISTS_SHARE: f64 = 0.16;
 /// Memory for one listed upstream: its entry and the state of the decisions, and its part of an update while
 /// that is read.
 const LIST_ENTRY_BYTES: usize = 1250;
@@ -62,14 +64,12 @@
     #[must_use]
     pub fn for_limit(limit_bytes: usize) -> Self {
         let peer_bytes = limit_bytes.saturating_sub(PROGRAM_BYTES) as f64;
-        let connection_bytes = (peer_bytes * CONNECTIONS_SHARE) as usize;
-        let request_bytes = (peer_bytes * REQUESTS_SHARE) as usize;
-        let answer_bytes = (peer_bytes * ANSWERS_SHARE) as usize;
+        let share_bytes = |share: f64| (peer_bytes * share) as usize;
         Self {
-            max_connections: connection_bytes / CONNECTION_BYTES,
-            request_bytes,
-            answer_bytes,
-            list_bytes: peer_bytes as usize - connection_bytes - request_bytes - answer_bytes,
+            max_connections: share_bytes(CONNECTIONS_SHARE) / CONNECTION_BYTES,
+            request_bytes: share_bytes(REQUESTS_SHARE),
+            answer_bytes: share_bytes(ANSWERS_SHARE),
+            list_bytes: share_bytes(LISTS_SHARE),
         }
     }
 }
--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -27,6 +27,7 @@
 
 use crate::body::{MAX_BODY_BYTES, read_body};
 use crate::driver::Driver;
+use crate::framing::MAX_READ_BYTES;
 use crate::memory::ReservedBytes;
 use crate::permit::Permit;
 
@@ -176,9 +177,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled_before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let bytes = (buffer.filled().len() - filled_before) as u64;
+        let limit = buffer.remaining().min(MAX_READ_BYTES);
+        let mut limited = ReadBuf::new(buffer.initialize_unfilled_to(limit));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut limited))?;
+        let read_bytes = limited.filled().len();
+        buffer.advance(read_bytes);
+        let bytes = read_bytes as u64;
         match self.traffic.read_allowance.get().checked_sub(bytes) {
             Some(remaining) => self.traffic.read_allowance.set(remaining),
             None => {
--- a/proxy/src/upstream/tests.rs
+++ b/proxy/src/upstream/tests.rs
@@ -264,3 +264,27 @@
         });
     }
 }
+
+/// Guards memory: hyper doubles its read buffer after a read that fills it and keeps it that large for as long
+/// as the connection is open, so that no read may fill it.
+#[test]
+fn a_read_does_not_fill_the_read_buffer() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+    runtime.block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("accepted");
+        let mut upstream_end = listener.accept().await.expect("a connection").0;
+        let sent = vec![b'x'; MAX_HEAD_BYTES];
+        upstream_end.write_all(&sent).await.expect("open");
+        let traffic = Rc::new(Traffic { written_bytes: Cell::new(0), read_allowance: Cell::new(u64::MAX) });
+        let permit = Permit::acquire(&Rc::new(Cell::new(0)));
+        let mut balancer_end = CountedStream { stream, traffic, _permit: permit };
+        let mut buffer = vec![0; MAX_HEAD_BYTES];
+        let mut received_bytes = 0;
+        while received_bytes < sent.len() {
+            let bytes = balancer_end.read(&mut buffer).await.expect("open");
+            assert!(bytes <= MAX_READ_BYTES, "{bytes}");
+            received_bytes += bytes;
+        }
+    });
+}
