--- a/review/stand-ins-2/case_8.rs
+++ b/review/stand-ins-2/case_8.rs
@@ -18,7 +18,7 @@
     let site = Site::start(4, Duration::from_millis(20), "automatic", record);
     let mut balancer = Balancer::start(&site.setup, record);
     let address = balancer.address;
-    let traffic = Traffic::start(address, 16, Duration::from_millis(50), record);
+    let traffic = Traffic::start(address, 16, 3, Duration::from_millis(50), record);
     thread::sleep(Duration::from_secs(3));
     let mut restarted_at = None;
     if trouble {
@@ -38,7 +38,7 @@
         restarted_at = Some(told_at);
     }
     thread::sleep(Duration::from_secs(4));
-    traffic.stop();
+    let _ = traffic.stop();
     drop(balancer);
     if restarted_at.is_some_and(|at| !leaving.arrivals_since(at).is_empty() || !site.nodos[1].arrivals_since(at).is_empty()) {
         record.line("the new process has served");
--- a/review/stand-ins-2/case_9.rs
+++ b/review/stand-ins-2/case_9.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::balancer::Balancer;
+use crate::client::End;
 use crate::discovery::Calls;
 use crate::record::Record;
 use crate::site::{DRAIN_GRACE, SLACK, Site};
@@ -18,8 +19,11 @@
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
     let site = Site::start(4, Duration::from_millis(20), "subscribe", record);
+    for nodo in &site.nodos {
+        nodo.set_reserva_time(Duration::from_millis(400));
+    }
     let balancer = Balancer::start(&site.setup, record);
-    let traffic = Traffic::start(balancer.address, 8, Duration::from_millis(100), record);
+    let traffic = Traffic::start(balancer.address, 24, 2, Duration::from_millis(50), record);
     thread::sleep(Duration::from_secs(3));
     if trouble {
         record.line("all watches are reset, and calls fail from now on");
@@ -31,7 +35,12 @@
     site.discovery.change(&leaving.name, leaving.entry("gone"));
     let told_at = Instant::now() + TOLD_AFTER;
     thread::sleep(TOLD_AFTER + Duration::from_secs(5));
-    traffic.stop();
+    record.line("the removed nodo ends");
+    let ends_at = Instant::now();
+    leaving.end();
+    thread::sleep(Duration::from_secs(1));
+    let failed: Vec<_> =
+        traffic.stop().into_iter().filter(|(at, _, end)| *at >= ends_at && *end == End::Answer(502)).collect();
     drop(balancer);
     let late = leaving.arrivals_since(told_at + DRAIN_GRACE + SLACK);
     for arrival in &late {
@@ -39,5 +48,10 @@
         record.line_at(arrival.first_byte_at, &format!("{} got {} {} ms after it counted as told", leaving.name, arrival.id, after.as_millis()));
     }
     record.say(&format!("{} requests went to a removed nodo over {} ms after that counted as told", late.len(), (DRAIN_GRACE + SLACK).as_millis()));
+    // For the reader: what the rule is for. It is no part of the check.
+    for (at, id, _) in &failed {
+        record.line_at(*at, &format!("{id} failed with the removed nodo"));
+    }
+    record.say(&format!("{} requests failed when that nodo ended", failed.len()));
     !late.is_empty()
 }
--- a/review/stand-ins-2/nodo.rs
+++ b/review/stand-ins-2/nodo.rs
@@ -1,8 +1,8 @@
 //! A nodo: answers each request after its service time, and turns requests away while it drains.
 
 use std::io::BufReader;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,6 +28,9 @@
     /// One in how many requests is turned away, and after what time that is answered again.
     turns_away: Mutex<Option<(u64, Option<Duration>)>>,
     request_count: AtomicU64,
+    /// The open connections, to be ended with the process.
+    connections: Mutex<Vec<TcpStream>>,
+    ended: AtomicBool,
 }
 
 impl Nodo {
@@ -41,10 +44,19 @@
             reserva_time: Mutex::default(),
             turns_away: Mutex::default(),
             request_count: AtomicU64::new(0),
+            connections: Mutex::default(),
+            ended: AtomicBool::new(false),
         });
         let (accepting, record) = (Arc::clone(&nodo), Arc::clone(record));
+        let _ = listener.set_nonblocking(true);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !accepting.ended.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                accepting.connections.lock().unwrap().extend(stream.try_clone());
                 let (nodo, record) = (Arc::clone(&accepting), Arc::clone(&record));
                 thread::spawn(move || nodo.serve(stream, &record));
             }
@@ -62,6 +74,15 @@
         *self.reserva_time.lock().unwrap() = Some(service_time);
     }
 
+    /// The process ends: its connections end, and new ones are refused.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        thread::sleep(Duration::from_millis(5));
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     /// The entry of this nodo in a list of discovery.
     pub fn entry(&self, status: &str) -> String {
         format!(
