--- a/review/stand-ins-2/case_10.rs
+++ b/review/stand-ins-2/case_10.rs
@@ -18,7 +18,7 @@
 const DEADLINE: Duration = Duration::from_secs(1);
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
-    let mut site = Site::start(4, Duration::from_millis(20), "subscribe", record);
+    let mut site = Site::start(Duration::from_millis(20), "subscribe", record);
     (site.setup.memory_mb, site.setup.sockets) = (192, 1024);
     let balancer = Balancer::start(&site.setup, record);
     let address = balancer.address;
--- a/review/stand-ins-2/case_8.rs
+++ b/review/stand-ins-2/case_8.rs
@@ -15,10 +15,10 @@
 const CROWDED: Duration = Duration::from_millis(1800);
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
-    let site = Site::start(4, Duration::from_millis(20), "automatic", record);
+    let site = Site::start(Duration::from_millis(20), "automatic", record);
     let mut balancer = Balancer::start(&site.setup, record);
     let address = balancer.address;
-    let traffic = Traffic::start(address, 16, 3, Duration::from_millis(50), record);
+    let traffic = Traffic::start(address, 16, 3, Duration::from_millis(100), record);
     thread::sleep(Duration::from_secs(3));
     let mut restarted_at = None;
     if trouble {
--- a/review/stand-ins-2/case_9.rs
+++ b/review/stand-ins-2/case_9.rs
@@ -13,24 +13,24 @@
 use crate::traffic::Traffic;
 
 /// How long a call waits at a crowded discovery until it fails.
-const WAITS: Duration = Duration::from_millis(500);
+const WAITS: Duration = Duration::from_secs(2);
 /// When a change counts as told at the latest, whatever calls have failed.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
-    let site = Site::start(4, Duration::from_millis(20), "subscribe", record);
+    let site = Site::start(Duration::from_millis(20), "subscribe", record);
     for nodo in &site.nodos {
         nodo.set_reserva_time(Duration::from_millis(400));
     }
     let balancer = Balancer::start(&site.setup, record);
-    let traffic = Traffic::start(balancer.address, 24, 2, Duration::from_millis(50), record);
+    let traffic = Traffic::start(balancer.address, 24, 2, Duration::from_millis(100), record);
     thread::sleep(Duration::from_secs(3));
     if trouble {
         record.line("all watches are reset, and calls fail from now on");
         site.discovery.set_calls(Calls::Failed(WAITS));
         site.discovery.end_watches();
     }
-    thread::sleep(Duration::from_secs(1));
+    thread::sleep(Duration::from_secs(3));
     let leaving = &site.nodos[0];
     site.discovery.change(&leaving.name, leaving.entry("gone"));
     let told_at = Instant::now() + TOLD_AFTER;
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -8,6 +8,8 @@
 use crate::nodo::Nodo;
 use crate::record::Record;
 
+/// Nodos of the deployment: 7 to 9 today.
+const NODOS: usize = 8;
 /// What the rules on sockets add to every time limit.
 pub const SLACK: Duration = Duration::from_millis(50);
 /// `rules.drainGraceS` in the settings.
@@ -23,9 +25,9 @@
 
 impl Site {
     /// Starts nodos that serve each request in `service_time`, and their discovery.
-    pub fn start(nodo_count: usize, service_time: Duration, discovery_mode: &'static str, record: &Arc<Record>) -> Self {
+    pub fn start(service_time: Duration, discovery_mode: &'static str, record: &Arc<Record>) -> Self {
         let nodos: Vec<_> =
-            (0..nodo_count).map(|number| Nodo::start(&format!("s-{number}"), service_time, record)).collect();
+            (0..NODOS).map(|number| Nodo::start(&format!("s-{number}"), service_time, record)).collect();
         let entries: Vec<(&str, String)> =
             nodos.iter().map(|nodo| (nodo.name.as_str(), nodo.entry("ready"))).collect();
         let discovery = Discovery::start(&entries, record);
