--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -26,4 +26,6 @@
 wait "$child"
 status=$?
 child=
+# Whatever else ended the stand-ins, the case did not run.
+[ "$status" -le 1 ] || status=2
 exit "$status"
