Let requests wait for memory, and answer those that arrive in part before a close

Cause: a head over 2 KiB reserves 24 KiB (127 at 32 MB). If that failed, poll_read returned an error to hyper, which ends the connection and writes nothing. Memory that was taken back from another connection became free only with that one's close, after the request had failed already. Ruled out: eviction for descriptors (none counted), the head timeout (the closes came at once).

Change: heads and bodies wait for memory in the order of their arrival, for 0.4 s in all, and are refused after that. A connection that is closed with a part of a request gets 503, or 408 after the head timeout.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -197,6 +197,7 @@
             driver.core.borrow_mut().subscription.resume_from(resume_version);
         }
         driver.handle(Event::Started);
+        spawn_local(Rc::clone(&driver.arrival_memory).serve_queue());
         let cleanup_driver = Rc::clone(&driver);
         spawn_local(async move {
             loop {
--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -141,21 +141,22 @@
         parser_bytes + large_buffers.count() * MAX_HEAD_BYTES
     }
 
-    /// How many bytes hyper may read now. Memory for a large head is reserved before it is read.
-    ///
-    /// # Errors
-    /// There is no memory left for a large head.
-    fn readable_bytes(&self) -> Result<usize, OutOfMemory> {
+    /// How many bytes hyper may read now. Memory for a large head is reserved before it is read; until then the
+    /// rest of the head stays with its client.
+    fn poll_readable_bytes(&self, context: &mut Context<'_>) -> Poll<usize> {
         let received_bytes = self.received.borrow().len();
         let body_bytes = usize::try_from(self.body_remaining.get()).unwrap_or(usize::MAX);
         let unreserved_bytes = UNRESERVED_MESSAGE_BYTES.saturating_sub(received_bytes);
         if body_bytes == 0 && unreserved_bytes == 0 {
             self.parser_has_grown.set(true);
             let buffer_bytes = self.buffer_bytes(MAX_HEAD_BYTES, self.read_ahead.borrow().len());
-            self.arrival.reserve_buffers(buffer_bytes)?;
-            return Ok(MAX_READ_BYTES);
+            return match ready!(self.arrival.poll_reserve_buffers(context, buffer_bytes)) {
+                Ok(()) => Poll::Ready(MAX_READ_BYTES),
+                // The connection is about to be closed.
+                Err(OutOfMemory) => Poll::Pending,
+            };
         }
-        Ok(body_bytes.saturating_add(unreserved_bytes).min(MAX_READ_BYTES))
+        Poll::Ready(body_bytes.saturating_add(unreserved_bytes).min(MAX_READ_BYTES))
     }
 
     /// Keeps bytes that were read ahead of hyper, unless they are too many or there is no memory for them.
@@ -163,7 +164,8 @@
         let mut read_ahead = self.read_ahead.borrow_mut();
         let read_ahead_bytes = read_ahead.len() + bytes.len();
         let buffer_bytes = self.buffer_bytes(self.received.borrow().len(), read_ahead_bytes);
-        if read_ahead_bytes > MAX_READ_AHEAD_BYTES || self.arrival.reserve_buffers(buffer_bytes).is_err() {
+        if read_ahead_bytes > MAX_READ_AHEAD_BYTES || self.arrival.try_reserve_buffers(buffer_bytes).is_err()
+        {
             self.read_ahead_overflowed.set(true);
             return;
         }
@@ -357,8 +359,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let limit =
-            self.input.readable_bytes().map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))?;
+        let limit = ready!(self.input.poll_readable_bytes(context));
         if self.input.take_read_ahead(buffer, limit) {
             return Poll::Ready(Ok(()));
         }
--- a/proxy/src/memory.rs
+++ b/proxy/src/memory.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Buf, Bytes};
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 /// The number of bytes in a megabyte of `limits.memory_mb`.
 pub const BYTES_PER_MEGABYTE: usize = 1_000_000;
@@ -115,6 +116,17 @@
         self.reserved_bytes().saturating_sub(self.limit_bytes.load(Ordering::Relaxed))
     }
 
+    /// How many bytes can be reserved now.
+    #[must_use]
+    pub fn available_bytes(&self) -> usize {
+        self.limit_bytes.load(Ordering::Relaxed).saturating_sub(self.reserved_bytes())
+    }
+
+    /// Completes at the next release, or change of the limit, after this call.
+    pub fn released(&self) -> Notified<'_> {
+        self.released.notified()
+    }
+
     /// Reserves this many bytes; `None` if fewer are available.
     #[must_use]
     pub fn try_reserve(self: &Arc<Self>, bytes: usize) -> Option<Reservation> {
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -36,9 +36,11 @@
 use crate::reload;
 
 mod clients;
+mod rejection;
 mod request;
 
 use clients::{ARRIVAL_GRACE, ClientConnection, Clients, IDLE_TIMEOUT, Phase};
+use rejection::Rejection;
 pub use request::DEADLINE_MARGIN;
 use request::{BadRequest, read_request};
 
@@ -169,14 +171,22 @@
     // disconnect.
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
-    serve_requests(clients, &stream, connection).await;
+    if let Some(rejection) = serve_requests(clients, &stream, connection).await {
+        rejection.count(clients.driver.metrics());
+        rejection.write_to(&stream, clients.driver.active_config().max_retry_after());
+    }
     // The buffers for requests and answers are free by now, and only the socket is left.
     connection.input.clear();
     linger(&stream, connection).await;
 }
 
-/// Serves the requests on a client connection until no more are to be answered.
-async fn serve_requests(clients: &Rc<Clients>, stream: &Rc<TcpStream>, connection: &Rc<ClientConnection>) {
+/// Serves the requests on a client connection until no more are to be answered. Returns the answer to a
+/// request of which only a part has arrived.
+async fn serve_requests(
+    clients: &Rc<Clients>,
+    stream: &Rc<TcpStream>,
+    connection: &Rc<ClientConnection>,
+) -> Option<Rejection> {
     let service = service_fn(|request| {
         let driver = &clients.driver;
         // The body deadline counts from the request's first byte, or from when the connection was accepted.
@@ -230,7 +240,7 @@
         biased;
         _ = http_connection.as_mut() => {
             clients.driver.metrics().connection_closed(CloseReason::Served);
-            return;
+            return None;
         }
         reason = close_reason => reason,
         reason = wait_until_expired(connection) => reason,
@@ -238,7 +248,7 @@
     clients.driver.metrics().connection_closed(reason);
     tracing::debug!(?reason, used = connection.used.get(), "closing client connection");
     if reason == CloseReason::Stalled {
-        return;
+        return None;
     }
     // A request that is arriving is read first, even if the runtime has not been notified of it yet: its
     // last byte may be on its way, and the request would be lost.
@@ -255,10 +265,13 @@
         });
         tokio::select! {
             biased;
-            ended = &mut input_progress => if ended { return },
+            ended = &mut input_progress => if ended { return None },
             () = sleep_until(began_at.unwrap_or(closing_since) + ARRIVAL_GRACE) => break,
         }
     }
+    if connection.has_partial_request() {
+        return Some(Rejection::for_close(reason));
+    }
     http_connection.as_mut().graceful_shutdown();
     // A connection between requests ends now, but one that never had a request still waits for the first. A
     // new connection is given a moment, because its request may already be in the socket, and is then closed
@@ -266,17 +279,18 @@
     if !connection.used.get() {
         tokio::select! {
             biased;
-            _ = http_connection.as_mut() => return,
+            _ = http_connection.as_mut() => return None,
             () = sleep_until(connection.last_activity.get() + ARRIVAL_GRACE) => {}
         }
         if !connection.used.get() {
-            return;
+            return connection.has_partial_request().then(|| Rejection::for_close(reason));
         }
     }
     tokio::select! {
         _ = http_connection => {}
         () = wait_until_stalled(connection) => {}
     }
+    None
 }
 
 /// Whether the system holds received bytes that have not been read.
--- a/proxy/src/server/clients.rs
+++ b/proxy/src/server/clients.rs
@@ -69,6 +69,12 @@
 }
 
 impl ClientConnection {
+    /// Whether a part of the next request has arrived, and an answer to it can be written now.
+    pub(super) fn has_partial_request(&self) -> bool {
+        let nothing_to_send = !self.input.arrival().is_answering() && self.output.blocked_since().is_none();
+        nothing_to_send && self.input.pending_since().is_some()
+    }
+
     /// When to close the connection because the client does not take its answer; `None` if it does.
     pub(super) fn stalls_at(&self) -> Option<Instant> {
         let stalled_at = self.output.blocked_since()? + STALL_TIMEOUT;
--- a/proxy/src/server/request.rs
+++ b/proxy/src/server/request.rs
@@ -202,7 +202,7 @@
             None => return Ok(arrival.finish_body()?),
             Some(Ok(frame)) => {
                 if let Ok(piece) = frame.into_data() {
-                    arrival.push_body(&piece, stated_bytes)?;
+                    arrival.push_body(&piece, stated_bytes).await?;
                 }
             }
             Some(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
--- a/proxy/tests/clients.rs
+++ b/proxy/tests/clients.rs
@@ -111,8 +111,8 @@
     });
 }
 
-/// Guards sockets against clients that never complete a request, or stay connected after one: each gets an
-/// error or is disconnected without further input. A client that stays after a request is disconnected later
+/// Guards sockets against clients that never complete a request, or stay connected after one: each that has begun
+/// one gets an error, and all are disconnected, without further input. A client that stays after a request is disconnected later
 /// than one that is silent from the start.
 #[test]
 fn a_client_without_a_complete_request_is_disconnected() {
@@ -126,8 +126,11 @@
     for prefix in ["", "POST /ord", "POST /order HTTP/1.1\r\nHost: a\r\nX-Fill: "] {
         let mut client = balancer.client();
         client.raw(prefix.as_bytes());
+        let status = client.answer().map(|answer| answer.status());
+        assert_eq!(status, (!prefix.is_empty()).then_some(408), "{prefix:?}");
         assert!(client.answer().is_none(), "{prefix:?}");
     }
+    assert_eq!(next.answer().map(|answer| answer.status()), Some(408));
     assert!(next.answer().is_none() && idle_after_request.answer().is_none());
     for (length, status) in [(100, 408), (60_000_000, 413)] {
         let mut client = balancer.client();
