Stop reading from a client that sends much behind its request

Cause: client_disconnected in framing.rs read until the client's end. Neither readable nor try_read yields while the socket has more, so one peer held the only thread for as long as it sent. Ruled out: a busy machine (nodos asked directly answered at once), the read after the last answer (256 KiB at most).

Change: reading ahead ends at 16 KiB. The client's end is then known from the system's notice of it, with no reading. As that can be stuck behind bytes that the system has no room for, no further attempt begins for the request; those in flight go on.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -84,6 +84,8 @@
     attempts: Vec<Option<InFlightAttempt>>,
     /// The number of attempts that have not reported their end, including cancelled ones.
     attempts_in_flight: u32,
+    /// Whether another attempt may be sent.
+    may_send: bool,
 }
 
 /// An attempt that has not ended.
@@ -405,6 +407,7 @@
                 answer_sender: Some(answer_sender),
                 attempts: Vec::new(),
                 attempts_in_flight: 0,
+                may_send: true,
             };
             core.requests.insert(id, pending);
             id
@@ -444,6 +447,15 @@
         self.handle(Event::RequestAbandoned(id));
     }
 
+    /// No attempt of the request begins from now on, because it would not be noticed if its client disconnected;
+    /// those in flight continue.
+    pub fn forbid_further_attempts(&self, id: RequestId) {
+        if let Some(pending) = self.core.borrow_mut().requests.get_mut(&id) {
+            tracing::debug!(id = %pending.client_id(), "no further attempts: the client sends too much");
+            pending.may_send = false;
+        }
+    }
+
     /// Reports the end of an attempt and its duration to the decisions, and passes a served body on to the
     /// client.
     pub fn attempt_ended(self: &Rc<Self>, spec: &AttemptSpec, duration: Duration, result: AttemptResult) {
@@ -644,7 +656,8 @@
     ) {
         let Some(pending) = core.requests.get_mut(&request) else { return };
         let attempt = AttemptNumber(pending.attempts.len() as u32);
-        let address = core.directory.ready_address(upstream).filter(|_| pending.answer_sender.is_some());
+        let is_wanted = pending.answer_sender.is_some() && pending.may_send;
+        let address = core.directory.ready_address(upstream).filter(|_| is_wanted);
         let Some(address) = address else {
             pending.attempts.push(None);
             let request_ended = pending.answer_sender.is_none();
--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -11,8 +11,9 @@
 use bytes::BufMut;
 use socket2::SockRef;
 use thiserror::Error;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 use crate::arrival::{Arrival, OutOfMemory};
@@ -33,6 +34,27 @@
 /// Maximum number of bytes that are read at a time: hyper doubles its buffer after a read that fills it.
 pub const MAX_READ_BYTES: usize = 4 * 1024;
 
+/// How many bytes are read ahead at a time.
+const READ_AHEAD_PIECE_BYTES: usize = 1024;
+
+/// What a client has done while its request is being answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientChange {
+    /// It has closed its side of the connection.
+    Disconnected,
+    /// It has sent so much behind its request that the end of the connection may be stuck behind unread bytes.
+    Unobservable,
+}
+
+/// Waits until the peer is known to have closed its side of a connection, while received bytes stay unread.
+pub async fn closed_by_peer(stream: &TcpStream) {
+    // Readiness for urgent data, which is not asked for, also tells of the end of the connection; readiness
+    // for reading would not wait, as there are unread bytes.
+    while stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {
+        yield_now().await;
+    }
+}
+
 /// A client's received bytes that belong to no request processed so far.
 #[derive(Debug)]
 pub struct PendingInput {
@@ -205,18 +227,24 @@
         ![&b"GET "[..], b"POST "].iter().any(may_start_with)
     }
 
-    /// Waits until the client whose request is being answered has disconnected. Hyper stops reading once
-    /// anything has arrived after the request, and then would not notice, so such bytes are read here.
-    pub async fn client_disconnected(&self, stream: &TcpStream) {
-        let mut buffer = [0; 1024];
-        while stream.readable().await.is_ok() {
+    /// Waits until the client whose request is being answered has disconnected, or has sent more than is read
+    /// ahead. Hyper stops reading once anything has arrived after the request, and then would not notice, so such
+    /// bytes are read here. What exceeds `MAX_READ_AHEAD_BYTES` stays in the system's buffers: a client that
+    /// sends without an end must not keep the program reading.
+    pub async fn client_changed(&self, stream: &TcpStream) -> ClientChange {
+        let mut buffer = [0; READ_AHEAD_PIECE_BYTES];
+        while !self.read_ahead_overflowed.get() {
+            if stream.readable().await.is_err() {
+                return ClientChange::Disconnected;
+            }
             match stream.try_read(&mut buffer) {
-                Ok(0) => return,
+                Ok(0) => return ClientChange::Disconnected,
                 Ok(bytes) => self.keep_read_ahead(&buffer[..bytes]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+                Err(_) => return ClientChange::Disconnected,
             }
         }
+        ClientChange::Unobservable
     }
 
     /// Whether some of the bytes after the current request were discarded.
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -30,7 +30,9 @@
 
 use crate::config::{Config, ConfigError};
 use crate::driver::{Answer, ClientRequest, Driver};
-use crate::framing::{AmbiguousLength, InspectedStream, MAX_HEAD_BYTES};
+use crate::framing::{
+    AmbiguousLength, ClientChange, InspectedStream, MAX_HEAD_BYTES, PendingInput, closed_by_peer,
+};
 use crate::memory::ReservedBytes;
 use crate::metrics::{self, CloseReason, UnservedCause};
 use crate::reload;
@@ -398,7 +400,7 @@
             );
             return Ok(Answer::Refused { retry_after: driver.active_config().max_retry_after() });
         }
-        await_answer(clients, request, input.client_disconnected(stream)).await.ok_or(BadRequest::DuplicateId)
+        await_answer(clients, request, input, stream).await.ok_or(BadRequest::DuplicateId)
     };
     let (mut response, must_close) = match answer.await {
         Ok(answer) => {
@@ -475,13 +477,20 @@
 async fn await_answer(
     clients: &Clients,
     request: ClientRequest,
-    client_disconnected: impl Future<Output = ()>,
+    input: &PendingInput,
+    stream: &TcpStream,
 ) -> Option<Answer> {
     let driver = &clients.driver;
     let mut phases = clients.phases.clone();
     let answer_deadline = request.deadline + FINAL_ANSWER_GRACE;
     let (id, answer) = driver.submit(request)?;
     let abandon_guard = AbandonOnDrop { driver: Rc::clone(driver), id };
+    let client_disconnected = async {
+        if input.client_changed(stream).await == ClientChange::Unobservable {
+            driver.forbid_further_attempts(id);
+            closed_by_peer(stream).await;
+        }
+    };
     let answer = tokio::select! {
         biased;
         answer = answer => answer.unwrap_or(Answer::Failed),
--- a/proxy/tests/floods.rs
+++ b/proxy/tests/floods.rs
@@ -5,6 +5,8 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::{Mutex, mpsc};
+use std::thread;
 use std::time::Duration;
 
 use common::*;
@@ -203,3 +205,79 @@
     program.kill().expect("the program runs");
     program.wait().expect("the program ends");
 }
+
+/// An upstream that holds requests with the body "held" until the sender is dropped, and then replies so.
+fn held_upstream(reply: Reply) -> (Upstream, mpsc::Sender<()>) {
+    let (release, released) = mpsc::channel::<()>();
+    let released = Mutex::new(released);
+    let upstream = Upstream::start(move |_, message| {
+        if message.body != b"held" {
+            return ok("served");
+        }
+        let _ = released.lock().expect("no thread panicked").recv();
+        reply.clone()
+    });
+    (upstream, release)
+}
+
+/// Guards other clients against peers that go on sending behind a request: the balancer stops reading from
+/// such a peer, instead of reading from it alone for as long as it sends.
+#[test]
+fn a_peer_that_sends_without_an_end_is_not_read_without_an_end() {
+    let (upstream, release) = held_upstream(ok("released"));
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let mut peer = balancer.client();
+    peer.send("order", "held");
+    upstream.wait_requests(1);
+    let mut stream = peer.0.try_clone().expect("the connection is open");
+    let flood = thread::spawn(move || {
+        let block = vec![b'G'; 1 << 16];
+        (0..1000).try_for_each(|_| stream.write_all(&block))
+    });
+    let mut ordinary = balancer.client();
+    for _ in 0..20 {
+        assert_eq!(ordinary.ask("order", "x").status(), 200);
+    }
+    drop(release);
+    assert_eq!(peer.answer().expect("an answer").status(), 200);
+    assert!(flood.join().expect("no panic").is_err(), "all of the flood was read");
+}
+
+/// Guards against attempts for a client that has left: one that has sent too much behind its request may have
+/// disconnected unnoticed, so no further attempt begins.
+#[test]
+fn a_client_that_sends_too_much_behind_its_request_gets_no_further_attempts() {
+    let (held, release) = held_upstream(status("503 Full\r\nX-Not-Run: 1"));
+    let other = Upstream::start(|_, _| ok("served"));
+    let (balancer, discovery) = Balancer::with(&[endpoint("s-1", held.address, 0, "ready")], 30.0);
+    let (_, watch) = discovery.watch();
+    let mut client = balancer.client();
+    client.send("order", "held");
+    held.wait_requests(1);
+    watch.send_update(8, false, &[endpoint("s-2", other.address, 1, "ready")]);
+    wait_for("the new upstream to be used", || {
+        balancer.client().ask("order", "x");
+        (!other.requests().is_empty()).then_some(())
+    });
+    client.raw(&[b'G'; 60_000]);
+    balancer.wait_until_caught_up();
+    drop(release);
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    let is_held = |message: &Message| message.body == b"held";
+    assert!(!other.requests().iter().any(|(_, message)| is_held(message)), "another attempt was made");
+}
+
+/// Guards upstreams and descriptors: that a client has left is noticed though it left much unread.
+#[test]
+fn a_client_that_leaves_much_unread_is_noticed_to_leave() {
+    let upstream = Upstream::start(|_, _| Reply::Silence);
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let mut client = balancer.client();
+    client.send("order", "held");
+    upstream.wait_requests(1);
+    client.raw(&[b'G'; 60_000]);
+    balancer.wait_until_caught_up();
+    drop(client);
+    upstream.wait_closed(1);
+}
