Notice that a client has left behind much that it sent

Cause: with reading ended at 16 KiB, the end of a client that leaves behind 1 MiB is stuck in its own system until those bytes are read, so its attempt was not cancelled.

Change: 4 MiB at most are read and discarded in pieces of 16 KiB, with other tasks in between, before only the system's notice of the end is waited for.

--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -37,6 +37,12 @@
 /// How many bytes are read ahead at a time.
 const READ_AHEAD_PIECE_BYTES: usize = 1024;
 
+/// How much of what a client sends behind its request is read and discarded so that its end is noticed. A client
+/// that sends without an end must not keep the program reading.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
+/// How many bytes are discarded at a time.
+const DISCARDED_PIECE_BYTES: usize = 16 * 1024;
+
 /// What a client has done while its request is being answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ClientChange {
@@ -46,8 +52,19 @@
     Unobservable,
 }
 
-/// Waits until the peer is known to have closed its side of a connection, while received bytes stay unread.
-pub async fn closed_by_peer(stream: &TcpStream) {
+/// Waits until a client that has sent too much is known to have closed its side of the connection. Some of what
+/// it sends is read and discarded for that, and other tasks run in between.
+pub async fn disconnected_after_excess(stream: &TcpStream) {
+    let mut remaining_bytes = MAX_DISCARDED_BYTES;
+    while remaining_bytes > 0 && stream.readable().await.is_ok() {
+        match discard_some(stream) {
+            Ok(0) => return,
+            Ok(bytes) => remaining_bytes = remaining_bytes.saturating_sub(bytes),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+        yield_now().await;
+    }
     // Readiness for urgent data, which is not asked for, also tells of the end of the connection; readiness
     // for reading would not wait, as there are unread bytes.
     while stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {
@@ -55,6 +72,11 @@
     }
 }
 
+/// Reads and discards some of the bytes that a peer has sent; returns how many.
+fn discard_some(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_read(&mut [0; DISCARDED_PIECE_BYTES])
+}
+
 /// A client's received bytes that belong to no request processed so far.
 #[derive(Debug)]
 pub struct PendingInput {
@@ -229,8 +251,7 @@
 
     /// Waits until the client whose request is being answered has disconnected, or has sent more than is read
     /// ahead. Hyper stops reading once anything has arrived after the request, and then would not notice, so such
-    /// bytes are read here. What exceeds `MAX_READ_AHEAD_BYTES` stays in the system's buffers: a client that
-    /// sends without an end must not keep the program reading.
+    /// bytes are read here. What exceeds `MAX_READ_AHEAD_BYTES` is not kept.
     pub async fn client_changed(&self, stream: &TcpStream) -> ClientChange {
         let mut buffer = [0; READ_AHEAD_PIECE_BYTES];
         while !self.read_ahead_overflowed.get() {
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -31,7 +31,7 @@
 use crate::config::{Config, ConfigError};
 use crate::driver::{Answer, ClientRequest, Driver};
 use crate::framing::{
-    AmbiguousLength, ClientChange, InspectedStream, MAX_HEAD_BYTES, PendingInput, closed_by_peer,
+    AmbiguousLength, ClientChange, InspectedStream, MAX_HEAD_BYTES, PendingInput, disconnected_after_excess,
 };
 use crate::memory::ReservedBytes;
 use crate::metrics::{self, CloseReason, UnservedCause};
@@ -488,7 +488,7 @@
     let client_disconnected = async {
         if input.client_changed(stream).await == ClientChange::Unobservable {
             driver.forbid_further_attempts(id);
-            closed_by_peer(stream).await;
+            disconnected_after_excess(stream).await;
         }
     };
     let answer = tokio::select! {
