Remember the ids of requests that may have run, and reject them

Cause: only the ids of requests in progress were known. Once an attempt was cancelled or answered its id was forgotten, though it may have run.

Test changed: the_id_of_an_open_request_is_rejected asked that a request that must not be repeated runs again with its id once its client has left, which is the fault. It now asks for a rejection, and for the id of a request that may be repeated to be free again, which keeps the check that ids of ended requests are released.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -9,10 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use stilelead_decision::interface::{
-    AttemptEnded, AttemptNumber, ClassId, DiscoveryUpdate, Outcome, Request, RequestId, SettingsError,
-    TenantId, UpstreamId,
+    AttemptEnded, AttemptNumber, ClassId, DiscoveryUpdate, Idempotency, Outcome, Request, RequestId,
+    SettingsError, TenantId, UpstreamId,
 };
 use stilelead_decision::report::{Report, UnservedReason};
 use stilelead_decision::{Action, Balancer, Event};
@@ -30,6 +30,7 @@
 use crate::metrics::Metrics;
 use crate::permit::Permit;
 use crate::reload::{Changes, ReloadError};
+use crate::request_ids::{IdDigest, RepeatedId, RequestIds};
 use crate::subscription::Subscription;
 use crate::upstream::{self, AttemptResult, AttemptSpec, Connection, ForwardedRequest, Progress};
 
@@ -74,6 +75,12 @@
 
 /// A request that has no final answer yet, or still has attempts in flight.
 struct PendingRequest {
+    /// Stands for the id that the client gave.
+    id_digest: IdDigest,
+    /// Whether the request may run more than once.
+    is_idempotent: bool,
+    /// Whether an attempt that has ended may have run.
+    may_have_run: bool,
     /// The request to forward to upstreams.
     forwarded: Rc<ForwardedRequest>,
     /// When the final answer has to be given.
@@ -116,9 +123,8 @@
     events: VecDeque<Event>,
     /// Requests without a final answer or with attempts in flight.
     requests: FxHashMap<RequestId, PendingRequest>,
-    /// Client-given ids of the pending requests: upstreams count a second request with the same id as a
-    /// duplicate.
-    client_ids: FxHashSet<Box<[u8]>>,
+    /// Client-given ids: upstreams count a second request with the same id as a duplicate.
+    request_ids: RequestIds,
     /// The id that the next accepted request gets.
     next_request_id: u64,
     /// The current list of upstreams.
@@ -170,7 +176,7 @@
             balancer: Balancer::new(active_config.settings(), seed)?,
             events: VecDeque::new(),
             requests: FxHashMap::default(),
-            client_ids: FxHashSet::default(),
+            request_ids: RequestIds::default(),
             next_request_id: 0,
             directory: Directory::new(clock),
             idle_connections: FxHashMap::default(),
@@ -383,9 +389,16 @@
         self.shutdown_deadline.set(Some(shutdown_deadline));
     }
 
-    /// Accepts a request; its final answer arrives through the receiver. `None` if another request with the
-    /// same client id is pending.
-    pub fn submit(self: &Rc<Self>, request: ClientRequest) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+    /// Accepts a request; its final answer arrives through the receiver.
+    ///
+    /// # Errors
+    /// Another request with the same client id is pending, or may have run and must not run again.
+    pub fn submit(
+        self: &Rc<Self>,
+        request: ClientRequest,
+    ) -> Result<(RequestId, oneshot::Receiver<Answer>), RepeatedId> {
+        let class_settings = self.active_config().class(request.class).map(|class| class.idempotency);
+        let is_idempotent = class_settings == Some(Idempotency::Idempotent);
         let (answer_sender, receiver) = oneshot::channel();
         let deadline = self
             .shutdown_deadline
@@ -393,15 +406,16 @@
             .map_or(request.deadline, |shutdown_deadline| request.deadline.min(shutdown_deadline));
         let id = {
             let mut core = self.core.borrow_mut();
-            if !core.client_ids.insert(request.forwarded.request_id.as_bytes().into()) {
-                return None;
-            }
+            let id_digest = core.request_ids.open(request.forwarded.request_id.as_bytes(), Instant::now())?;
             let id = RequestId(core.next_request_id);
             core.next_request_id += 1;
             let (client_id, class) =
                 (request.forwarded.request_id.as_bytes().escape_ascii(), request.class.0);
             tracing::debug!(id = %client_id, class, "request accepted");
             let pending = PendingRequest {
+                id_digest,
+                is_idempotent,
+                may_have_run: false,
                 forwarded: request.forwarded,
                 deadline,
                 answer_sender: Some(answer_sender),
@@ -421,7 +435,7 @@
             expected_work: request.expected_work,
             is_retry: request.is_retry,
         }));
-        Some((id, receiver))
+        Ok((id, receiver))
     }
 
     /// The client has disconnected, or its deadline has passed: the request needs no answer any more.
@@ -456,14 +470,15 @@
         }
     }
 
-    /// Reports the end of an attempt and its duration to the decisions, and passes a served body on to the
-    /// client.
-    pub fn attempt_ended(self: &Rc<Self>, spec: &AttemptSpec, duration: Duration, result: AttemptResult) {
+    /// Reports the end of an attempt to the decisions, and passes a served body on to the client.
+    pub fn attempt_ended(self: &Rc<Self>, spec: &AttemptSpec, progress: &Progress, result: AttemptResult) {
+        let duration = progress.time_at_upstream(spec.requested_at);
         let request_ended = {
             let mut core = self.core.borrow_mut();
             let Core { requests, directory, .. } = &mut *core;
             let Some(pending) = requests.get_mut(&spec.request) else { return };
             pending.attempts_in_flight -= 1;
+            pending.may_have_run |= progress.is_fully_written() && !result.outcome.never_ran();
             self.metrics.attempt_ended(result.outcome);
             tracing::debug!(
                 id = %pending.client_id(),
@@ -754,7 +769,8 @@
             .is_some_and(|pending| pending.answer_sender.is_none() && pending.attempts_in_flight == 0)
             && let Some(pending) = self.requests.remove(&id)
         {
-            self.client_ids.remove(pending.forwarded.request_id.as_bytes());
+            let must_not_run_again = pending.may_have_run && !pending.is_idempotent;
+            self.request_ids.close(pending.id_digest, must_not_run_again, Instant::now());
         }
     }
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod permit;
 pub mod reload;
+pub mod request_ids;
 pub mod server;
 pub mod subscription;
 pub mod upstream;
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -36,6 +36,7 @@
 use crate::memory::ReservedBytes;
 use crate::metrics::{self, CloseReason, UnservedCause};
 use crate::reload;
+use crate::request_ids::RepeatedId;
 
 mod clients;
 mod rejection;
@@ -400,7 +401,7 @@
             );
             return Ok(Answer::Refused { retry_after: driver.active_config().max_retry_after() });
         }
-        await_answer(clients, request, input, stream).await.ok_or(BadRequest::DuplicateId)
+        Ok(await_answer(clients, request, input, stream).await?)
     };
     let (mut response, must_close) = match answer.await {
         Ok(answer) => {
@@ -473,13 +474,16 @@
     }
 }
 
-/// Waits for the final answer to a request; `None` if a request with the same id is in progress.
+/// Waits for the final answer to a request.
+///
+/// # Errors
+/// A request with the same id is in progress, or may have run.
 async fn await_answer(
     clients: &Clients,
     request: ClientRequest,
     input: &PendingInput,
     stream: &TcpStream,
-) -> Option<Answer> {
+) -> Result<Answer, RepeatedId> {
     let driver = &clients.driver;
     let mut phases = clients.phases.clone();
     let answer_deadline = request.deadline + FINAL_ANSWER_GRACE;
@@ -501,7 +505,7 @@
         _ = phases.wait_for(|&phase| phase == Phase::Ending) => Answer::Failed,
     };
     drop(abandon_guard);
-    Some(answer)
+    Ok(answer)
 }
 
 #[cfg(test)]
--- a/proxy/src/server/request.rs
+++ b/proxy/src/server/request.rs
@@ -19,6 +19,7 @@
 use crate::driver::{ClientRequest, Driver};
 use crate::framing::AmbiguousLength;
 use crate::memory::{ReservedBytes, UNRESERVED_MESSAGE_BYTES};
+use crate::request_ids::RepeatedId;
 use crate::upstream::ForwardedRequest;
 
 /// The time kept for delivering the answer. It is subtracted from the client's time limit, in each tier
@@ -55,8 +56,8 @@
     AmbiguousLength(#[from] AmbiguousLength),
     #[error("what follows the body is no request")]
     TrailingGarbage,
-    #[error("a request with this id is open")]
-    DuplicateId,
+    #[error("{0}")]
+    RepeatedId(#[from] RepeatedId),
     #[error("{0}")]
     OutOfMemory(#[from] OutOfMemory),
 }
@@ -67,7 +68,7 @@
         match self {
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::DuplicateId => StatusCode::CONFLICT,
+            Self::RepeatedId(_) => StatusCode::CONFLICT,
             Self::OutOfMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -390,7 +390,7 @@
     cancelled: oneshot::Receiver<Outcome>,
 ) {
     let (result, connection) = await_result(&driver, &spec, &progress, cancelled).await;
-    driver.attempt_ended(&spec, progress.time_at_upstream(spec.requested_at), result);
+    driver.attempt_ended(&spec, &progress, result);
     // The result is reported first; then the connection becomes ready for the next request.
     if let Some(mut connection) = connection
         && !spec.forwarded.leaves_large_buffer()
--- a/proxy/tests/attempts.rs
+++ b/proxy/tests/attempts.rs
@@ -427,6 +427,33 @@
     without
 }
 
+/// Guards requests that must not run twice against clients that lose their connection and send the request again: its
+/// id is rejected after an attempt that may have run, whether or not the client got the answer.
+#[test]
+fn a_request_that_may_have_run_does_not_run_again_with_the_same_id() {
+    let upstream =
+        Upstream::start(|_, message| if message.body == b"held" { Reply::Silence } else { ok("served") });
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let ask_again = |id: &str, class: &str| {
+        let mut client = balancer.client();
+        client.send_with_id(id, class, "again");
+        client.answer().expect("an answer").status()
+    };
+    let mut leaving_client = balancer.client();
+    leaving_client.send_with_id("left", "order", "held");
+    upstream.wait_requests(1);
+    drop(leaving_client);
+    upstream.wait_closed(1);
+    assert_eq!(ask_again("left", "order"), 409);
+    let mut client = balancer.client();
+    client.send_with_id("answered", "order", "once");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(ask_again("answered", "order"), 409);
+    assert_eq!([ask_again("harmless", "read"), ask_again("harmless", "read")], [200, 200]);
+    let bodies: Vec<_> = upstream.requests().into_iter().map(|(_, request)| request.body).collect();
+    assert_eq!(bodies, [&b"held"[..], b"once", b"again", b"again"]);
+}
+
 /// Guards against wasted work when a client disconnects while its request waits for an upstream connection:
 /// the request is not sent once the connection is established, whatever the settings allow. The request of a
 /// client that is still connected is sent.
--- a/proxy/tests/clients.rs
+++ b/proxy/tests/clients.rs
@@ -93,22 +93,28 @@
 /// this id is open.
 #[test]
 fn the_id_of_an_open_request_is_rejected() {
-    let upstream = Upstream::start(|number, _| if number == 0 { Reply::Silence } else { ok("served") });
+    let upstream = Upstream::start(|number, _| if number < 2 { Reply::Silence } else { ok("served") });
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
-    let mut first = balancer.client();
-    first.send_with_id("mine", "order", "one");
-    upstream.wait_requests(1);
-    let mut second = balancer.client();
-    second.send_with_id("mine", "order", "one");
-    assert_eq!(second.answer().expect("an answer").status(), 409);
-    assert_eq!(upstream.requests().len(), 1);
-    // Once the request is over, its id can be used again.
-    first.0.shutdown(std::net::Shutdown::Both).expect("shut down the connection");
-    upstream.wait_closed(1);
+    for (number, class) in ["order", "read"].into_iter().enumerate() {
+        let mut first = balancer.client();
+        first.send_with_id(class, class, "one");
+        upstream.wait_requests(number + 1);
+        let mut second = balancer.client();
+        second.send_with_id(class, class, "one");
+        assert_eq!(second.answer().expect("an answer").status(), 409);
+        assert_eq!(upstream.requests().len(), number + 1);
+        first.0.shutdown(std::net::Shutdown::Both).expect("shut down the connection");
+        upstream.wait_closed(number + 1);
+    }
+    // Once the request is over, its id can be used again if the request may be repeated.
+    let mut client = balancer.client();
     wait_for("the request id to be free", || {
-        second.send_with_id("mine", "order", "one");
-        (second.answer().expect("an answer").status() == 200).then_some(())
+        client.send_with_id("read", "read", "one");
+        (client.answer().expect("an answer").status() == 200).then_some(())
     });
+    client.send_with_id("order", "order", "one");
+    assert_eq!(client.answer().expect("an answer").status(), 409);
+    assert!(upstream.requests().iter().filter(|(_, request)| request.line.contains("/order")).count() == 1);
 }
 
 /// Guards sockets against clients that never complete a request, or stay connected after one: each that has begun
