Wait for the watch to be read before the test of stale lists ends it

The test nothing_is_sent_while_the_call_after_an_ended_watch_is_overdue failed once in the whole suite: requests were not refused within 30 s.

Cause: it ended the watch without knowing that the balancer had read the list from it.

Change: the test waits until the metrics say that the list is confirmed; its checks stay as they are.

--- a/proxy/tests/stale_list.rs
+++ b/proxy/tests/stale_list.rs
@@ -108,6 +108,7 @@
     let (address, _log) = common::address(&mut child);
     let (_, watch) = discovery.watch();
     watch.send_update(8, true, &known);
+    wait_for("the list to be confirmed", || is_list_confirmed(address).then_some(()));
     let mut client = Client::connect(address);
     assert_eq!(client.ask("read", "").status(), 200);
     // The connection of the watch is closed; the next call is accepted but not answered yet.
@@ -149,6 +150,14 @@
     child.wait().expect("it ends");
 }
 
+/// Whether a watch confirms the list, by the metrics of the program.
+fn is_list_confirmed(address: SocketAddr) -> bool {
+    let mut client = Client::connect(address);
+    client.raw(b"GET /_metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+    let metrics = client.answer().expect("an answer").body;
+    String::from_utf8(metrics).expect("UTF-8").contains("stilelead_list_confirmed 1\n")
+}
+
 /// Copies bytes until either side ends.
 fn pipe(mut from: TcpStream, mut to: TcpStream) {
     thread::spawn(move || {
