Guard upstreams against requests of clients that have left before they are read

It is not seen here: with the program stopped until request and close are both in the system's buffers, none of ten such requests was sent, in this test, which passes on the present code. A check for the client's end right before the first attempt was tried and undone, as nothing failed without it.

--- a/proxy/tests/clients.rs
+++ b/proxy/tests/clients.rs
@@ -117,6 +117,33 @@
     assert!(upstream.requests().iter().filter(|(_, request)| request.line.contains("/order")).count() == 1);
 }
 
+/// Guards upstreams against requests of clients that have left: one that is found in the system's buffers together
+/// with the end of its connection is not sent. The program is stopped meanwhile, so that it finds both at once.
+#[test]
+fn a_request_is_not_sent_if_its_client_has_left() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let mut child = program(&configuration(discovery.address, &known, 30.0, 1024));
+    let (address, _log) = address(&mut child);
+    let signal = |name: &str| {
+        let status = Command::new("kill").args([name, &child.id().to_string()]).status();
+        assert!(status.expect("run kill").success());
+    };
+    assert_eq!(Client::connect(address).ask("order", "before").status(), 200);
+    signal("-STOP");
+    for _ in 0..10 {
+        Client::connect(address).send("order", "left");
+    }
+    signal("-CONT");
+    for _ in 0..10 {
+        assert_eq!(Client::connect(address).ask("order", "after").status(), 200);
+    }
+    child.kill().expect("the program runs");
+    child.wait().expect("the program ends");
+    assert!(upstream.requests().iter().all(|(_, request)| request.body != b"left"));
+}
+
 /// Guards sockets against clients that never complete a request, or stay connected after one: each that has begun
 /// one gets an error, and all are disconnected, without further input. A client that stays after a request is disconnected later
 /// than one that is silent from the start.
