--- a/proxy/src/arrival.rs
+++ b/proxy/src/arrival.rs
@@ -1,7 +1,7 @@
 //! Memory for requests that are still arriving. A client may stop in the middle of a request, so that memory
 //! which runs short is taken back from the requests that hold the most for the longest. Such a request has
 //! not begun for its client, who gets an error or a close. Requests for which there is no memory yet wait for
-//! it in [`queue`].
+//! it in a queue.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
