Read and discard what a peer sends in one place

The read before the close of a socket (linger) and the one behind a request with too much after it were the same loop written twice; the first did not let other tasks run between its pieces. Both now call framing::discard.

--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -61,15 +61,8 @@
 /// Waits until a client that has sent too much is known to have closed its side of the connection. Some of what
 /// it sends is read and discarded for that, and other tasks run in between.
 pub async fn disconnected_after_excess(stream: &TcpStream) {
-    let mut remaining_bytes = MAX_DISCARDED_BYTES;
-    while remaining_bytes > 0 && stream.readable().await.is_ok() {
-        match discard_some(stream) {
-            Ok(0) => return,
-            Ok(bytes) => remaining_bytes = remaining_bytes.saturating_sub(bytes),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
-        }
-        yield_now().await;
+    if discard(stream, MAX_DISCARDED_BYTES).await == Discarded::UntilEnd {
+        return;
     }
     // Readiness for urgent data, which is not asked for, also tells of the end of the connection; readiness
     // for reading would not wait, as there are unread bytes.
@@ -78,9 +71,37 @@
     }
 }
 
-/// Reads and discards some of the bytes that a peer has sent; returns how many.
-fn discard_some(stream: &TcpStream) -> io::Result<usize> {
-    stream.try_read(&mut [0; DISCARDED_PIECE_BYTES])
+/// How far the bytes that a peer sends were discarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Discarded {
+    /// Until the peer closed its side of the connection, or the connection broke.
+    UntilEnd,
+    /// As many as allowed.
+    UntilLimit,
+}
+
+/// Reads and discards at most `max_bytes` of what a peer sends; other tasks run between pieces.
+pub async fn discard(stream: &TcpStream, max_bytes: usize) -> Discarded {
+    let mut remaining_bytes = max_bytes;
+    while remaining_bytes > 0 {
+        if stream.readable().await.is_err() {
+            return Discarded::UntilEnd;
+        }
+        match discard_piece(stream, remaining_bytes) {
+            Ok(0) => return Discarded::UntilEnd,
+            Ok(bytes) => remaining_bytes -= bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return Discarded::UntilEnd,
+        }
+        yield_now().await;
+    }
+    Discarded::UntilLimit
+}
+
+/// Reads and discards one piece of at most `max_bytes`; returns its size. The buffer is not held across an await.
+fn discard_piece(stream: &TcpStream, max_bytes: usize) -> io::Result<usize> {
+    let mut buffer = [0; DISCARDED_PIECE_BYTES];
+    stream.try_read(&mut buffer[..max_bytes.min(DISCARDED_PIECE_BYTES)])
 }
 
 /// A client's received bytes that belong to no request processed so far.
@@ -378,12 +399,12 @@
 fn find_head_end(bytes: &[u8], scanned_bytes: usize) -> Option<usize> {
     let begin = bytes.iter().position(|byte| !matches!(byte, b'\r' | b'\n'))?;
     let unscanned = scanned_bytes.max(begin);
-    let line_ends = (unscanned..bytes.len()).filter(|&position| bytes[position] == b'\n');
+    let mut line_ends = (unscanned..bytes.len()).filter(|&position| bytes[position] == b'\n');
     let ends_empty_line = |&position: &usize| {
         let line = &bytes[begin..position];
         line.strip_suffix(b"\r").unwrap_or(line).ends_with(b"\n")
     };
-    line_ends.into_iter().find(ends_empty_line).map(|position| position + 1)
+    line_ends.find(ends_empty_line).map(|position| position + 1)
 }
 
 /// The header fields of a request head that determine its length.
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -31,7 +31,8 @@
 use crate::config::{Config, ConfigError};
 use crate::driver::{Answer, ClientRequest, Driver};
 use crate::framing::{
-    AmbiguousLength, ClientChange, InspectedStream, MAX_HEAD_BYTES, PendingInput, disconnected_after_excess,
+    AmbiguousLength, ClientChange, InspectedStream, MAX_HEAD_BYTES, PendingInput, discard,
+    disconnected_after_excess,
 };
 use crate::memory::ReservedBytes;
 use crate::metrics::{self, CloseReason, UnservedCause};
@@ -311,20 +312,8 @@
     }
     connection.busy.set(false);
     let deadline = Instant::now() + LINGER_TIMEOUT;
-    let mut remaining = MAX_LINGER_BYTES;
-    let mut buffer = [0; 1024];
-    let discard = async {
-        while remaining > 0 && stream.readable().await.is_ok() {
-            match stream.try_read(&mut buffer) {
-                Ok(0) => return,
-                Ok(bytes) => remaining = remaining.saturating_sub(bytes),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
-            }
-        }
-    };
     tokio::select! {
-        () = discard => {}
+        _ = discard(stream, MAX_LINGER_BYTES) => {}
         () = sleep_until(deadline) => {}
         () = connection.close_requested.notified() => {}
     }
