Keep the ids that may have run once with their times

The time of each id's end stood in a map beside the queue that has the same ids in the same order, though an id is never remembered twice. The queue has the times now, and the ids are a set.

--- a/proxy/src/request_ids.rs
+++ b/proxy/src/request_ids.rs
@@ -6,7 +6,7 @@
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::time::Duration;
 
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashSet;
 use siphasher::sip128::{Hasher128, SipHasher13};
 use thiserror::Error;
 use tokio::time::Instant;
@@ -38,10 +38,10 @@
     key: (u64, u64),
     /// The ids of requests in progress.
     open: FxHashSet<IdDigest>,
-    /// The ids of ended requests that may have run, with the time of their end.
-    executed: FxHashMap<IdDigest, Instant>,
-    /// The same in the order of their end.
-    executed_in_order: VecDeque<IdDigest>,
+    /// The ids of ended requests that may have run.
+    executed: FxHashSet<IdDigest>,
+    /// The same in the order of their end, with its time.
+    executed_in_order: VecDeque<(IdDigest, Instant)>,
 }
 
 impl Default for RequestIds {
@@ -50,7 +50,7 @@
         Self {
             key: (random_number(), random_number()),
             open: FxHashSet::default(),
-            executed: FxHashMap::default(),
+            executed: FxHashSet::default(),
             executed_in_order: VecDeque::new(),
         }
     }
@@ -64,7 +64,7 @@
     pub fn open(&mut self, id: &[u8], now: Instant) -> Result<IdDigest, RepeatedId> {
         self.forget_oldest(now);
         let digest = self.digest(id);
-        if self.executed.contains_key(&digest) {
+        if self.executed.contains(&digest) {
             return Err(RepeatedId::MayHaveRun);
         }
         if self.open.insert(digest) { Ok(digest) } else { Err(RepeatedId::Open) }
@@ -73,21 +73,20 @@
     /// Ends a request; `may_have_run` if it must not be repeated and may have run.
     pub fn close(&mut self, digest: IdDigest, may_have_run: bool, now: Instant) {
         self.open.remove(&digest);
-        if may_have_run && self.executed.insert(digest, now).is_none() {
-            self.executed_in_order.push_back(digest);
+        if may_have_run && self.executed.insert(digest) {
+            self.executed_in_order.push_back((digest, now));
         }
         self.forget_oldest(now);
     }
 
     /// Forgets ids that have been remembered for long enough, or are too many.
     fn forget_oldest(&mut self, now: Instant) {
-        while let Some(oldest) = self.executed_in_order.front() {
-            let ended_at = self.executed.get(oldest);
-            let is_recent = ended_at.is_some_and(|&ended_at| now < ended_at + REMEMBERED_FOR);
+        while let Some(&(oldest, ended_at)) = self.executed_in_order.front() {
+            let is_recent = now < ended_at + REMEMBERED_FOR;
             if is_recent && self.executed_in_order.len() <= MAX_REMEMBERED {
                 return;
             }
-            self.executed.remove(oldest);
+            self.executed.remove(&oldest);
             self.executed_in_order.pop_front();
         }
     }
