Share the idle time before an eviction and the form of Retry-After

MIN_IDLE_TO_EVICT stood in arrival.rs and in server/clients.rs with the same value and reason, and the value of Retry-After was formatted in two places: each has one definition now. poll_reserve_buffers loses a branch that could not be reached, and a variable of Driver::submit gets the name of what it holds. Nothing else changes.

--- a/proxy/src/arrival.rs
+++ b/proxy/src/arrival.rs
@@ -26,9 +26,9 @@
 /// A request that has been arriving for less time than this keeps its memory: its client is most likely
 /// sending the rest just now.
 const MIN_AGE_TO_EVICT: Duration = Duration::from_millis(250);
-/// A connection that has been between requests for less time than this is closed for its buffers only as a last
-/// resort: its client may rely on it.
-const MIN_IDLE_TO_EVICT: Duration = Duration::from_secs(2);
+/// A connection that has been between requests for less time than this is closed for its buffers or its socket only
+/// as a last resort: its client may rely on it.
+pub const MIN_IDLE_TO_EVICT: Duration = Duration::from_secs(2);
 /// The longest that a request waits for memory. Its last byte may have arrived when the wait begins, and a
 /// refusal is of use for half a second after the client's time limit, however short that is.
 const MAX_WAIT: Duration = Duration::from_millis(400);
@@ -236,16 +236,13 @@
         bytes: usize,
     ) -> Poll<Result<(), OutOfMemory>> {
         let mut awaited = self.awaited_buffers.borrow_mut();
-        if awaited.is_none() {
-            if self.try_reserve_buffers(bytes).is_ok() {
-                return Poll::Ready(Ok(()));
-            }
-            if self.closing.get() {
-                return Poll::Ready(Err(OutOfMemory));
-            }
-            *awaited = Some(self.wait_for_memory(bytes - self.buffer_reservation()));
+        if awaited.is_none() && self.try_reserve_buffers(bytes).is_ok() {
+            return Poll::Ready(Ok(()));
+        }
+        if awaited.is_none() && self.closing.get() {
+            return Poll::Ready(Err(OutOfMemory));
         }
-        let Some(memory) = awaited.as_mut() else { return Poll::Ready(Ok(())) };
+        let memory = awaited.get_or_insert_with(|| self.wait_for_memory(bytes - self.buffer_reservation()));
         let result = ready!(Pin::new(&mut memory.reservation).poll(context));
         self.add_waited(memory.since);
         *awaited = None;
@@ -335,8 +332,7 @@
         Ok(())
     }
 
-    /// Reserves memory for the values of a large head, until the request is complete as one whose memory can be
-    /// taken back.
+    /// Reserves memory for the values of a large head. It can be taken back until the request is complete.
     ///
     /// # Errors
     /// No memory became available in time.
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -397,8 +397,8 @@
         self: &Rc<Self>,
         request: ClientRequest,
     ) -> Result<(RequestId, oneshot::Receiver<Answer>), RepeatedId> {
-        let class_settings = self.active_config().class(request.class).map(|class| class.idempotency);
-        let is_idempotent = class_settings == Some(Idempotency::Idempotent);
+        let idempotency = self.active_config().class(request.class).map(|class| class.idempotency);
+        let is_idempotent = idempotency == Some(Idempotency::Idempotent);
         let (answer_sender, receiver) = oneshot::channel();
         let deadline = self
             .shutdown_deadline
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -44,7 +44,7 @@
 mod request;
 
 use clients::{ARRIVAL_GRACE, ClientConnection, Clients, IDLE_TIMEOUT, Phase};
-use rejection::Rejection;
+use rejection::{Rejection, retry_after_value};
 pub use request::DEADLINE_MARGIN;
 use request::{BadRequest, read_request};
 
@@ -430,8 +430,7 @@
         Answer::Served(body) => Response::new(Full::new(body)),
         Answer::Refused { retry_after } => {
             let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
-            let value =
-                retry_after.map(|delay| HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64())));
+            let value = retry_after.map(|delay| HeaderValue::from_str(&retry_after_value(delay)));
             if let Some(Ok(value)) = value {
                 response.headers_mut().insert(RETRY_AFTER, value);
             }
--- a/proxy/src/server/clients.rs
+++ b/proxy/src/server/clients.rs
@@ -10,6 +10,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use crate::arrival::MIN_IDLE_TO_EVICT;
 use crate::driver::Driver;
 use crate::framing::{OutputProgress, PendingInput};
 use crate::metrics::CloseReason;
@@ -33,9 +34,6 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long after its time an answer may still be of use to a client.
 const LATE_ANSWER_GRACE: Duration = Duration::from_millis(500);
-/// Idle time after which a client connection may be closed when sockets run short; one that has been idle
-/// for less is closed only as a last resort.
-const MIN_IDLE_TO_EVICT: Duration = Duration::from_secs(2);
 
 /// Whether the program serves as usual, or how far its drain has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/proxy/src/server/rejection.rs
+++ b/proxy/src/server/rejection.rs
@@ -52,7 +52,12 @@
             Self::Refused(_) => (StatusCode::SERVICE_UNAVAILABLE, retry_after),
         };
         let retry_after = retry_after
-            .map_or_else(String::new, |delay| format!("retry-after: {:.3}\r\n", delay.as_secs_f64()));
+            .map_or_else(String::new, |delay| format!("retry-after: {}\r\n", retry_after_value(delay)));
         format!("HTTP/1.1 {status}\r\nconnection: close\r\n{retry_after}content-length: 0\r\n\r\n")
     }
 }
+
+/// The value of a `Retry-After` header, in seconds.
+pub(super) fn retry_after_value(delay: Duration) -> String {
+    format!("{:.3}", delay.as_secs_f64())
+}
