--- a/proxy/tests/clients.rs
+++ b/proxy/tests/clients.rs
@@ -144,9 +144,9 @@
     assert!(upstream.requests().iter().all(|(_, request)| request.body != b"left"));
 }
 
-/// Guards sockets against clients that never complete a request, or stay connected after one: each that has begun
-/// one gets an error, and all are disconnected, without further input. A client that stays after a request is disconnected later
-/// than one that is silent from the start.
+/// Guards sockets against clients that never complete a request, or stay connected after one: each that has begun one
+/// gets an error, and all are disconnected, without further input. A client that stays after a request is disconnected
+/// later than one that is silent from the start.
 #[test]
 fn a_client_without_a_complete_request_is_disconnected() {
     let upstream = Upstream::start(|_, _| ok("served"));
--- a/proxy/tests/memory.rs
+++ b/proxy/tests/memory.rs
@@ -98,6 +98,14 @@
     client.0.set_nonblocking(false).expect("set the socket option");
 }
 
+/// Asserts that each client, which has sent a complete request, gets an answer that it was not served.
+fn assert_all_refused_or_failed(clients: Vec<Client>) {
+    for mut client in clients {
+        let answer = client.answer().expect("an answer to a complete request");
+        assert!(matches!(answer.status(), 502 | 503), "{answer:?}");
+    }
+}
+
 /// A head that announces a body of this size.
 fn post_head(number: usize, body_bytes: usize) -> String {
     format!(
@@ -219,10 +227,7 @@
     let clients = program
         .flood(FLOODING_CLIENTS, |number| [post_head(number, LARGE_BODY_BYTES).as_bytes(), &body].concat());
     program.upstream.wait_requests(1);
-    for mut client in clients {
-        let answer = client.answer().expect("an answer to a complete request");
-        assert!(matches!(answer.status(), 502 | 503), "{answer:?}");
-    }
+    assert_all_refused_or_failed(clients);
     program.assert_within_limit();
 }
 
@@ -247,10 +252,7 @@
             )
             .into_bytes()
         });
-        for mut client in clients {
-            let answer = client.answer().expect("an answer to a complete request");
-            assert!(matches!(answer.status(), 502 | 503), "{answer:?}");
-        }
+        assert_all_refused_or_failed(clients);
     }
     program.assert_within_limit();
 }
@@ -293,10 +295,7 @@
         )
         .into_bytes()
     });
-    for mut client in clients {
-        let answer = client.answer().expect("an answer to a complete request");
-        assert!(matches!(answer.status(), 502 | 503), "{answer:?}");
-    }
+    assert_all_refused_or_failed(clients);
     program.assert_within_limit();
 }
 
